--- a/src/libs/base/log_event.cc
+++ b/src/libs/base/log_event.cc
@@ -76,6 +76,16 @@
       return "instance_leaving";
     case LogEvent::kPeerReplaced:
       return "peer_replaced";
+    case LogEvent::kServerListed:
+      return "server_listed";
+    case LogEvent::kServerRemoved:
+      return "server_removed";
+    case LogEvent::kServerReplaced:
+      return "server_replaced";
+    case LogEvent::kServerEntryUnreadable:
+      return "server_entry_unreadable";
+    case LogEvent::kMembersChanged:
+      return "members_changed";
     case LogEvent::kConfigurationInstalled:
       return "configuration_installed";
     case LogEvent::kConfigurationFetchFailed:
@@ -106,6 +116,10 @@
       return "settings_invalid";
     case LogEvent::kSocketFailed:
       return "socket_failed";
+    case LogEvent::kSettingsReloaded:
+      return "settings_reloaded";
+    case LogEvent::kLogLinesDropped:
+      return "log_lines_dropped";
   }
   return "unlisted_event";
 }
--- a/src/libs/base/log_event.h
+++ b/src/libs/base/log_event.h
@@ -42,6 +42,11 @@
   kDatagramDropped = 1306,
   kInstanceLeaving = 1307,
   kPeerReplaced = 1308,
+  kServerListed = 1309,
+  kServerRemoved = 1310,
+  kServerReplaced = 1311,
+  kServerEntryUnreadable = 1312,
+  kMembersChanged = 1313,
 
   kConfigurationInstalled = 1401,
   kConfigurationFetchFailed = 1402,
@@ -60,6 +65,8 @@
   kProcessStopped = 1603,
   kSettingsInvalid = 1604,
   kSocketFailed = 1605,
+  kSettingsReloaded = 1606,
+  kLogLinesDropped = 1607,
 };
 
 /// A "name=value" pair of a log line.
--- a/src/libs/base/result_code.cc
+++ b/src/libs/base/result_code.cc
@@ -138,6 +138,8 @@
       return "two names have the same id; rename one";
     case ResultCode::kTooLarge:
       return "the document is too large";
+    case ResultCode::kNotToml:
+      return "the text is not TOML";
     case ResultCode::kMalformedMessage:
       return "the message cannot be decoded";
     case ResultCode::kForeignFleet:
--- a/src/libs/base/result_code.h
+++ b/src/libs/base/result_code.h
@@ -67,6 +67,7 @@
   kBadAddress = 6009,
   kIdCollision = 6010,
   kTooLarge = 6011,
+  kNotToml = 6012,
 
   kMalformedMessage = 7001,
   kForeignFleet = 7002,
--- /dev/null
+++ b/src/libs/gateway/answers.cc
@@ -0,0 +1,196 @@
+// Ends of attempts: which answers count, and what follows from the others.
+#include <algorithm>
+#include <utility>
+
+#include "libs/gateway/forwarder_state.h"
+
+namespace ibisladder::gateway::Internal {
+namespace {
+
+using detection::AttemptEnd;
+
+constexpr int kFirstError = 500;
+constexpr int kSuccessClass = 2;
+constexpr int kStatusClass = 100;
+constexpr int kGatewayTimeout = 504;
+
+/// What an answer tells of its server, and how it ends the attempt.
+AttemptEnd JudgeAnswer(const ServerAnswer& answer) {
+  if (answer.not_run) return AttemptEnd::kShed;
+  if (answer.is_encoded) return AttemptEnd::kCorrupt;
+  const bool is_success = answer.status / kStatusClass == kSuccessClass;
+  if (is_success && !answer.is_signed) return AttemptEnd::kCorrupt;
+  if (answer.status == kGatewayTimeout) return AttemptEnd::kTimeout;
+  if (answer.status >= kFirstError) return AttemptEnd::kError;
+  return answer.is_signed ? AttemptEnd::kOk : AttemptEnd::kCorrupt;
+}
+
+const char* EndName(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kOk:
+      return "answered";
+    case AttemptEnd::kError:
+      return "server_error";
+    case AttemptEnd::kCorrupt:
+      return "corrupt_answer";
+    case AttemptEnd::kLost:
+      return "connection_lost";
+    case AttemptEnd::kConnectFailed:
+      return "connect_failed";
+    case AttemptEnd::kTimeout:
+      return "timeout";
+    case AttemptEnd::kShed:
+      return "declined";
+    case AttemptEnd::kAbandoned:
+      return "cancelled";
+  }
+  return "unknown";
+}
+
+AttemptEnd EndOf(AttemptFailure failure) {
+  switch (failure) {
+    case AttemptFailure::kConnectFailed:
+      return AttemptEnd::kConnectFailed;
+    case AttemptFailure::kConnectionLost:
+      return AttemptEnd::kLost;
+    case AttemptFailure::kTruncated:
+      return AttemptEnd::kCorrupt;
+    case AttemptFailure::kTimeout:
+      return AttemptEnd::kTimeout;
+  }
+  return AttemptEnd::kLost;
+}
+
+CallerAnswer Deliverable(ServerAnswer answer) {
+  CallerAnswer result;
+  result.status = answer.status;
+  result.headers = std::move(answer.headers);
+  result.body = std::move(answer.body);
+  return result;
+}
+
+/// Other attempts of an answered call are of no use.
+void CancelOthers(Context& context, const Call& call) {
+  for (const AttemptId it : std::vector<AttemptId>(call.in_flight)) {
+    context.forwarder.actions.emplace_back(CancelAttempt{it});
+    EndAttempt(context, it, AttemptEnd::kAbandoned);
+  }
+}
+
+/// Tries another server where that is safe, or ends the call.
+void FollowFailure(Context& context, CallId id, AttemptEnd end,
+                   const std::string& server) {
+  Forwarder& forwarder = context.forwarder;
+  Call& call = forwarder.calls.at(id);
+  call.last_failure = std::string(EndName(end)) + " by " + server;
+  if (call.caller_left && call.in_flight.empty()) {
+    forwarder.calls.erase(id);
+    return;
+  }
+  if (!call.in_flight.empty()) return;
+  const bool may_repeat =
+      call.route.repeat == RepeatRule::kIdempotent || !call.may_have_run;
+  if (!may_repeat) {
+    if (call.server_failure) {
+      Finish(context, id, std::move(*call.server_failure));
+    } else {
+      AnswerOwn(context, id,
+                end == AttemptEnd::kCorrupt ? ResultCode::kAnswerCorrupt
+                                            : ResultCode::kServerConnectionLost,
+                Duration::zero());
+    }
+    return;
+  }
+  ++forwarder.counters.retries;
+  Log(context, LogEvent::kCallRetried,
+      {{"request", call.request->request_id},
+       {"reason", call.last_failure},
+       {"attempts", std::to_string(call.attempts)}});
+  const bool after_decline =
+      end == AttemptEnd::kShed || end == AttemptEnd::kConnectFailed;
+  PlaceAttempt(context, id, true, after_decline);
+}
+
+/// What both kinds of end have in common; false when the call is unknown.
+bool CloseAttempt(Context& context, AttemptId id, AttemptEnd end, CallId& call,
+                  std::string& server) {
+  Forwarder& forwarder = context.forwarder;
+  const auto it = forwarder.attempts.find(id);
+  if (it == forwarder.attempts.end()) return false;
+  const Attempt attempt = it->second;
+  ServiceState& service = forwarder.services.at(attempt.service);
+  if (const auto known = service.servers.find(attempt.server);
+      known != service.servers.end()) {
+    server = known->second.entry.name;
+  }
+  call = attempt.call;
+  EndAttempt(context, id, end);
+  const bool is_bad = end != AttemptEnd::kOk && end != AttemptEnd::kShed &&
+                      end != AttemptEnd::kAbandoned;
+  Evaluate(context, service);
+  if (is_bad) ShareOwnEvidence(context, attempt.service, service, true);
+  return forwarder.calls.contains(call);
+}
+
+}  // namespace
+
+void EndAttempt(Context& context, AttemptId id, AttemptEnd end) {
+  Forwarder& forwarder = context.forwarder;
+  const auto it = forwarder.attempts.find(id);
+  if (it == forwarder.attempts.end()) return;
+  const Attempt attempt = it->second;
+  forwarder.attempts.erase(it);
+  if (const auto call = forwarder.calls.find(attempt.call);
+      call != forwarder.calls.end()) {
+    std::erase(call->second.in_flight, id);
+  }
+  ServiceState& service = forwarder.services.at(attempt.service);
+  detection::AttemptEnded(*service.detector, id, end, context.now);
+  routing::AttemptEnded(*service.router, attempt.server, end,
+                        context.now - attempt.sent_at, context.now);
+}
+
+void HandleAnswer(Context& context, AttemptId id, ServerAnswer answer) {
+  Forwarder& forwarder = context.forwarder;
+  const auto it = forwarder.attempts.find(id);
+  if (it == forwarder.attempts.end()) return;
+  const Attempt attempt = it->second;
+  ServiceState& service = forwarder.services.at(attempt.service);
+  if (answer.load) {
+    routing::ReportLoad(*service.router, attempt.server, *answer.load,
+                        context.now);
+  }
+  if (answer.wrong_server) MarkReplaced(context, service, attempt.server);
+  const AttemptEnd end = JudgeAnswer(answer);
+  CallId call_id;
+  std::string server = "unlisted server";
+  if (!CloseAttempt(context, id, end, call_id, server)) return;
+  Call& call = forwarder.calls.at(call_id);
+  if (end == AttemptEnd::kOk) {
+    CancelOthers(context, call);
+    Finish(context, call_id, Deliverable(std::move(answer)));
+    return;
+  }
+  if (end != AttemptEnd::kShed) call.may_have_run = true;
+  const bool is_own_failure =
+      end == AttemptEnd::kError || end == AttemptEnd::kTimeout;
+  if (is_own_failure) call.server_failure = Deliverable(std::move(answer));
+  FollowFailure(context, call_id, end, server);
+}
+
+void HandleFailure(Context& context, AttemptId id, AttemptFailure failure) {
+  const AttemptEnd end = EndOf(failure);
+  CallId call_id;
+  std::string server = "unlisted server";
+  if (!CloseAttempt(context, id, end, call_id, server)) return;
+  Call& call = context.forwarder.calls.at(call_id);
+  if (failure == AttemptFailure::kConnectFailed) {
+    --call.attempts;
+    ++call.unopened;
+  } else {
+    call.may_have_run = true;
+  }
+  FollowFailure(context, call_id, end, server);
+}
+
+}  // namespace ibisladder::gateway::Internal
--- /dev/null
+++ b/src/libs/gateway/directory.cc
@@ -0,0 +1,53 @@
+#include "libs/gateway/directory.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <map>
+
+namespace ibisladder::gateway {
+namespace {
+
+/// Order in which the members of a zone are used: by a hash of their name, so
+/// that one that leaves moves no other.
+std::uint64_t Rank(const Member& member) {
+  return XXH64(member.name.data(), member.name.size(), 0);
+}
+
+std::map<ZoneName, std::vector<const Member*>> ByZone(
+    std::span<const Member> members) {
+  std::map<ZoneName, std::vector<const Member*>> zones;
+  for (const Member& it : members) zones[it.zone].push_back(&it);
+  for (auto& [zone, list] : zones) {
+    std::ranges::sort(list, {}, [](const Member* it) { return Rank(*it); });
+  }
+  return zones;
+}
+
+}  // namespace
+
+std::vector<Member> InUse(std::span<const Member> members,
+                          const DirectorySettings& settings) {
+  std::vector<Member> result;
+  for (const auto& [zone, list] : ByZone(members)) {
+    const std::size_t n = std::min(list.size(), settings.instances_per_zone);
+    for (std::size_t i = 0; i < n; ++i) result.push_back(*list[i]);
+  }
+  return result;
+}
+
+std::vector<Endpoint> AddressesFor(std::span<const Member> members,
+                                   const ZoneName& zone,
+                                   const DirectorySettings& settings) {
+  std::vector<Endpoint> own;
+  std::vector<Endpoint> others;
+  for (const Member& it : InUse(members, settings)) {
+    (it.zone == zone ? own : others).push_back(it.callers);
+  }
+  if (own.size() < settings.least_addresses) {
+    own.insert(own.end(), others.begin(), others.end());
+  }
+  return own;
+}
+
+}  // namespace ibisladder::gateway
--- /dev/null
+++ b/src/libs/gateway/directory.h
@@ -0,0 +1,52 @@
+#ifndef LIBS_GATEWAY_DIRECTORY_H_
+#define LIBS_GATEWAY_DIRECTORY_H_
+
+#include <span>
+#include <string>
+#include <vector>
+
+#include "libs/base/strong_types.h"
+#include "libs/base/time.h"
+
+/// Which instances callers are sent to. All instances with the same list of
+/// members give the same answer.
+namespace ibisladder::gateway {
+
+/// An instance as it registers itself.
+struct Member {
+  std::string name;
+  Incarnation incarnation;
+  ZoneName zone;
+  Endpoint callers;
+  /// UDP.
+  Endpoint peers;
+  /// TCP, for instances that start without the store.
+  Endpoint state;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(name, incarnation, zone, callers, peers, state);
+  }
+  friend bool operator==(const Member&, const Member&) = default;
+};
+
+struct DirectorySettings {
+  /// Instances of each availability zone that callers are sent to: with few
+  /// of them each one sees more of every server, and keeps more connections.
+  std::size_t instances_per_zone = 4;
+  /// Addresses of an answer at the least, from other zones if need be.
+  std::size_t least_addresses = 2;
+};
+
+/// Members that callers of some zone are sent to.
+std::vector<Member> InUse(std::span<const Member> members,
+                          const DirectorySettings& settings);
+
+/// Addresses for a caller in `zone`.
+std::vector<Endpoint> AddressesFor(std::span<const Member> members,
+                                   const ZoneName& zone,
+                                   const DirectorySettings& settings);
+
+}  // namespace ibisladder::gateway
+
+#endif  // LIBS_GATEWAY_DIRECTORY_H_
--- /dev/null
+++ b/src/libs/gateway/forwarder.cc
@@ -0,0 +1,194 @@
+#include "libs/gateway/forwarder.h"
+
+#include <utility>
+
+#include "libs/gateway/forwarder_state.h"
+
+namespace ibisladder::gateway {
+
+using Internal::Context;
+
+namespace {
+
+constexpr Duration kEvaluateInterval = Millis(100);
+
+void PumpQueues(Context& context) {
+  for (auto& [id, service] : context.forwarder.services) {
+    const auto placed =
+        routing::Pump(*service.router, context.now, context.forwarder.random);
+    for (const auto& it : placed) {
+      if (!context.forwarder.calls.contains(it.call)) continue;
+      Internal::ActOnPlacement(context, it.call, it.placement);
+    }
+  }
+}
+
+void EvaluateAll(Context& context) {
+  if (context.now - context.forwarder.evaluated_at < kEvaluateInterval) return;
+  context.forwarder.evaluated_at = context.now;
+  for (auto& [id, service] : context.forwarder.services) {
+    Internal::Evaluate(context, service);
+    Internal::ShareOwnEvidence(context, id, service, false);
+    Internal::SendDueProbes(context, service);
+  }
+}
+
+void CheckCalls(Context& context) {
+  std::vector<CallId> due;
+  std::vector<CallId> running;
+  for (const auto& [id, call] : context.forwarder.calls) {
+    (context.now >= call.deadline ? due : running).push_back(id);
+  }
+  for (const CallId it : due) Internal::GiveUpAtDeadline(context, it);
+  for (const CallId it : running) Internal::TryHedge(context, it);
+}
+
+}  // namespace
+
+const char* FailureName(AttemptFailure failure) {
+  switch (failure) {
+    case AttemptFailure::kConnectFailed:
+      return "connect_failed";
+    case AttemptFailure::kConnectionLost:
+      return "connection_lost";
+    case AttemptFailure::kTruncated:
+      return "truncated";
+    case AttemptFailure::kTimeout:
+      return "timeout";
+  }
+  return "unknown";
+}
+
+namespace Internal {
+
+void Log(Context& context, LogEvent event, std::vector<LogField> fields) {
+  context.forwarder.actions.emplace_back(LogLine{event, std::move(fields)});
+}
+
+std::string Text(Duration duration) {
+  return std::to_string(ToMillis(duration));
+}
+
+}  // namespace Internal
+
+void ForwarderDeleter::operator()(Forwarder* it) const { delete it; }
+
+ForwarderPtr MakeForwarder(const ForwarderSettings& settings, TimePoint now) {
+  ForwarderPtr forwarder(new Forwarder);
+  forwarder->settings = settings;
+  forwarder->random.seed(settings.seed);
+  forwarder->evaluated_at = now;
+  return forwarder;
+}
+
+void InstallConfiguration(Forwarder& forwarder, ConfigurationPtr configuration,
+                          TimePoint now) {
+  const bool is_newer =
+      !forwarder.routes ||
+      configuration->version > forwarder.routes->configuration->version;
+  if (!is_newer) return;
+  forwarder.routes = MakeRouteTable(std::move(configuration), forwarder.random);
+  Context context{forwarder, now};
+  Internal::ApplyConfiguration(context);
+  PumpQueues(context);
+}
+
+void SetServers(Forwarder& forwarder, std::span<const ServerEntry> entries,
+                TimePoint now) {
+  forwarder.entries.assign(entries.begin(), entries.end());
+  Context context{forwarder, now};
+  Internal::ApplyServers(context);
+  PumpQueues(context);
+}
+
+void SetFleetSize(Forwarder& forwarder, std::size_t instances, TimePoint now) {
+  if (forwarder.fleet_size == instances) return;
+  forwarder.fleet_size = instances;
+  Context context{forwarder, now};
+  if (!forwarder.routes) return;
+  for (auto& [id, service] : forwarder.services) {
+    Internal::RefreshRouter(context, service);
+  }
+}
+
+void StopAccepting(Forwarder& forwarder) { forwarder.is_stopping = true; }
+
+void RequestArrived(Forwarder& forwarder, CallerRequest request,
+                    TimePoint now) {
+  Context context{forwarder, now};
+  Internal::Accept(context, std::move(request));
+  PumpQueues(context);
+}
+
+void CallerLeft(Forwarder& forwarder, CallId call, TimePoint now) {
+  Context context{forwarder, now};
+  Internal::Leave(context, call);
+  PumpQueues(context);
+}
+
+void AttemptAnswered(Forwarder& forwarder, AttemptId attempt,
+                     ServerAnswer answer, TimePoint now) {
+  Context context{forwarder, now};
+  Internal::HandleAnswer(context, attempt, std::move(answer));
+  PumpQueues(context);
+}
+
+void AttemptFailed(Forwarder& forwarder, AttemptId attempt,
+                   AttemptFailure failure, TimePoint now) {
+  Context context{forwarder, now};
+  Internal::HandleFailure(context, attempt, failure);
+  PumpQueues(context);
+}
+
+void ProbeEnded(Forwarder& forwarder, BackendServerId server, bool ok,
+                TimePoint now) {
+  Context context{forwarder, now};
+  for (auto& [id, service] : forwarder.services) {
+    if (!service.servers.contains(server)) continue;
+    detection::ProbeEnded(*service.detector, server, ok, now);
+    Internal::Evaluate(context, service);
+  }
+}
+
+void MergeEvidence(Forwarder& forwarder, InstanceId peer,
+                   std::span<const detection::Digest> digests, TimePoint now) {
+  Context context{forwarder, now};
+  for (auto& [id, service] : forwarder.services) {
+    std::vector<detection::Digest> own;
+    for (const auto& it : digests) {
+      if (it.service == id) own.push_back(it);
+    }
+    if (own.empty()) continue;
+    detection::MergePeerDigests(*service.detector, peer, own, now);
+    Internal::Evaluate(context, service);
+  }
+}
+
+void Tick(Forwarder& forwarder, TimePoint now) {
+  Context context{forwarder, now};
+  CheckCalls(context);
+  EvaluateAll(context);
+  PumpQueues(context);
+}
+
+std::vector<Action> TakeActions(Forwarder& forwarder) {
+  return std::exchange(forwarder.actions, {});
+}
+
+bool HasConfiguration(const Forwarder& forwarder) {
+  return forwarder.routes.has_value();
+}
+
+ConfigurationPtr CurrentConfiguration(const Forwarder& forwarder) {
+  return forwarder.routes ? forwarder.routes->configuration : nullptr;
+}
+
+std::size_t OpenCalls(const Forwarder& forwarder) {
+  return forwarder.calls.size();
+}
+
+const ForwarderCounters& CountersOf(const Forwarder& forwarder) {
+  return forwarder.counters;
+}
+
+}  // namespace ibisladder::gateway
--- /dev/null
+++ b/src/libs/gateway/forwarder.h
@@ -0,0 +1,91 @@
+#ifndef LIBS_GATEWAY_FORWARDER_H_
+#define LIBS_GATEWAY_FORWARDER_H_
+
+#include <memory>
+#include <span>
+#include <vector>
+
+#include "libs/gateway/configuration.h"
+#include "libs/gateway/messages.h"
+
+/// Forwards callers' requests to backend servers: which server, when to try
+/// another one, when to give up. No sockets, clocks or random devices: events
+/// and the time go in, actions come out.
+namespace ibisladder::gateway {
+
+struct ForwarderSettings {
+  ZoneName zone;
+  /// Least share of a service's servers that stays in service, percent.
+  std::uint8_t floor_percent = 70;
+  /// Tolerated false ejections per healthy server-day.
+  double false_ejections_per_server_day = 100;
+  /// Requests of one service that wait for a server here, at the most.
+  std::uint16_t queue_limit = 64;
+  /// Second attempts over the fleet, percent of first ones, and how many more
+  /// may be made in a row.
+  std::uint8_t retry_percent = 16;
+  std::uint16_t retry_slack = 40;
+  std::uint64_t seed = 1;
+};
+
+/// Totals since the start.
+struct ForwarderCounters {
+  std::uint64_t arrived = 0;
+  std::uint64_t delivered = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t abandoned = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t hedges = 0;
+  std::uint64_t ejections = 0;
+};
+
+struct Forwarder;
+struct ForwarderDeleter {
+  void operator()(Forwarder* it) const;
+};
+using ForwarderPtr = std::unique_ptr<Forwarder, ForwarderDeleter>;
+
+ForwarderPtr MakeForwarder(const ForwarderSettings& settings, TimePoint now);
+
+// Commands.
+
+/// Does nothing unless the version is higher than the one in force.
+void InstallConfiguration(Forwarder& forwarder, ConfigurationPtr configuration,
+                          TimePoint now);
+/// Replaces the list of servers; known incarnations keep their state.
+void SetServers(Forwarder& forwarder, std::span<const ServerEntry> entries,
+                TimePoint now);
+/// Instances that callers are sent to: they share servers and retries.
+void SetFleetSize(Forwarder& forwarder, std::size_t instances, TimePoint now);
+/// New requests are refused from now on.
+void StopAccepting(Forwarder& forwarder);
+
+void RequestArrived(Forwarder& forwarder, CallerRequest request, TimePoint now);
+/// The caller's connection is closed.
+void CallerLeft(Forwarder& forwarder, CallId call, TimePoint now);
+void AttemptAnswered(Forwarder& forwarder, AttemptId attempt,
+                     ServerAnswer answer, TimePoint now);
+void AttemptFailed(Forwarder& forwarder, AttemptId attempt,
+                   AttemptFailure failure, TimePoint now);
+void ProbeEnded(Forwarder& forwarder, BackendServerId server, bool ok,
+                TimePoint now);
+void MergeEvidence(Forwarder& forwarder, InstanceId peer,
+                   std::span<const detection::Digest> digests, TimePoint now);
+/// Deadlines, queues, second attempts; call it every 20 ms or so.
+void Tick(Forwarder& forwarder, TimePoint now);
+
+/// What is to be done now, in order.
+std::vector<Action> TakeActions(Forwarder& forwarder);
+
+// Queries.
+
+bool HasConfiguration(const Forwarder& forwarder);
+ConfigurationPtr CurrentConfiguration(const Forwarder& forwarder);
+/// Requests that have no answer yet.
+std::size_t OpenCalls(const Forwarder& forwarder);
+const ForwarderCounters& CountersOf(const Forwarder& forwarder);
+
+}  // namespace ibisladder::gateway
+
+#endif  // LIBS_GATEWAY_FORWARDER_H_
--- /dev/null
+++ b/src/libs/gateway/requests.cc
@@ -0,0 +1,267 @@
+// Requests from their arrival until an attempt is sent or given up.
+#include <algorithm>
+#include <utility>
+
+#include "libs/gateway/forwarder_state.h"
+
+namespace ibisladder::gateway::Internal {
+namespace {
+
+/// A request without a deadline of its own gets the route's time-out.
+constexpr Duration kNotReadyRetryAfter = Millis(500);
+constexpr Duration kStoppingRetryAfter = Millis(20);
+/// Less time than this is no time for another attempt.
+constexpr Duration kLeastAttemptTime = Millis(30);
+/// Attempts without a connection beyond those that a route allows.
+constexpr std::uint32_t kMostUnopened = 3;
+/// Share of the target latency after which a second server is tried.
+constexpr int kHedgeDivisor = 2;
+constexpr Duration kHedgePause = Millis(100);
+
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusBadGateway = 502;
+constexpr int kStatusUnavailable = 503;
+constexpr int kStatusTimeout = 504;
+
+declarations::Priority PriorityOf(std::uint32_t rank) {
+  if (rank == 0) return declarations::Priority::kHigh;
+  return rank == 1 ? declarations::Priority::kNormal
+                   : declarations::Priority::kLow;
+}
+
+int StatusOf(ResultCode code) {
+  switch (code) {
+    case ResultCode::kNoRoute:
+      return kStatusNotFound;
+    case ResultCode::kDeadlineAfterDispatch:
+      return kStatusTimeout;
+    case ResultCode::kServerConnectionLost:
+    case ResultCode::kAnswerCorrupt:
+    case ResultCode::kAnswerTruncated:
+      return kStatusBadGateway;
+    default:
+      return kStatusUnavailable;
+  }
+}
+
+routing::Demand MakeDemand(const Call& call, CallId id, bool is_retry,
+                           bool after_shed) {
+  routing::Demand demand;
+  demand.call = id;
+  demand.priority = PriorityOf(call.route.rank);
+  demand.repeat = call.route.repeat;
+  demand.deadline = call.deadline;
+  demand.is_retry = is_retry;
+  demand.after_shed = after_shed;
+  demand.tried = call.tried;
+  return demand;
+}
+
+void Send(Context& context, CallId id, const routing::Dispatch& dispatch) {
+  Forwarder& forwarder = context.forwarder;
+  Call& call = forwarder.calls.at(id);
+  ServiceState& service = forwarder.services.at(call.service);
+  const auto it = service.servers.find(dispatch.server);
+  const AttemptId attempt(++forwarder.last_attempt);
+  call.is_queued = false;
+  call.tried.push_back(dispatch.server);
+  call.in_flight.push_back(attempt);
+  ++call.attempts;
+  forwarder.attempts[attempt] = {id, call.service, dispatch.server,
+                                 context.now};
+  detection::AttemptStarted(*service.detector, dispatch.server, attempt,
+                            context.now);
+  const ServerEntry& entry = it->second.entry;
+  Log(context, LogEvent::kCallDispatched,
+      {{"request", call.request->request_id},
+       {"server", entry.name},
+       {"attempt", std::to_string(call.attempts)},
+       {"reason", dispatch.reason},
+       {"waited_ms", Text(context.now - call.arrived_at)},
+       {"left_ms", Text(call.deadline - context.now)}});
+  forwarder.actions.emplace_back(
+      SendAttempt{attempt, dispatch.server, entry.endpoint, entry.name,
+                  call.request, call.deadline - context.now});
+}
+
+/// The final answer of a call for which no further attempt can be made.
+void GiveUp(Context& context, CallId id, const routing::Refused& refused) {
+  Call& call = context.forwarder.calls.at(id);
+  if (call.server_failure) {
+    Finish(context, id, std::move(*call.server_failure));
+  } else if (call.may_have_run) {
+    AnswerOwn(context, id, ResultCode::kServerConnectionLost, Duration::zero());
+  } else {
+    AnswerOwn(context, id, refused.code, refused.retry_after);
+  }
+}
+
+}  // namespace
+
+void Accept(Context& context, CallerRequest request) {
+  Forwarder& forwarder = context.forwarder;
+  ++forwarder.counters.arrived;
+  const CallId id = request.call;
+  Call& call = forwarder.calls[id];
+  call.request = std::make_shared<const CallerRequest>(std::move(request));
+  call.arrived_at = context.now;
+  call.deadline = context.now;
+  if (forwarder.is_stopping) {
+    AnswerOwn(context, id, ResultCode::kStopping, kStoppingRetryAfter);
+    return;
+  }
+  if (!forwarder.routes) {
+    AnswerOwn(context, id, ResultCode::kNotReady, kNotReadyRetryAfter);
+    return;
+  }
+  const int route =
+      FindRoute(*forwarder.routes, call.request->host, call.request->target);
+  if (route < 0) {
+    AnswerOwn(context, id, ResultCode::kNoRoute, Duration::zero());
+    return;
+  }
+  call.route = forwarder.routes->configuration->routes[route];
+  call.service = MakeServiceId(TakeService(*forwarder.routes, route));
+  const Duration patience = call.request->patience.value_or(call.route.timeout);
+  call.deadline = context.now + std::min(patience, call.route.timeout);
+  PlaceAttempt(context, id, false, false);
+}
+
+void PlaceAttempt(Context& context, CallId id, bool is_retry, bool after_shed) {
+  Forwarder& forwarder = context.forwarder;
+  Call& call = forwarder.calls.at(id);
+  const bool has_attempts =
+      call.attempts < call.route.max_attempts && call.unopened <= kMostUnopened;
+  const bool has_time = call.deadline - context.now > kLeastAttemptTime;
+  const auto service = forwarder.services.find(call.service);
+  if (!has_attempts || !has_time || service == forwarder.services.end()) {
+    const ResultCode code = has_time ? ResultCode::kShedByServers
+                                     : ResultCode::kDeadlineBeforeDispatch;
+    GiveUp(context, id, {code, kNotReadyRetryAfter});
+    return;
+  }
+  const auto demand = MakeDemand(call, id, is_retry, after_shed);
+  ActOnPlacement(context, id,
+                 routing::Place(*service->second.router, demand, context.now,
+                                forwarder.random));
+}
+
+void ActOnPlacement(Context& context, CallId id,
+                    const routing::Placement& placement) {
+  Call& call = context.forwarder.calls.at(id);
+  if (const auto* dispatch = std::get_if<routing::Dispatch>(&placement)) {
+    Send(context, id, *dispatch);
+  } else if (const auto* refused = std::get_if<routing::Refused>(&placement)) {
+    call.is_queued = false;
+    GiveUp(context, id, *refused);
+  } else {
+    call.is_queued = true;
+    Log(context, LogEvent::kCallQueued,
+        {{"request", call.request->request_id},
+         {"left_ms", Text(call.deadline - context.now)}});
+  }
+}
+
+void TryHedge(Context& context, CallId id) {
+  Forwarder& forwarder = context.forwarder;
+  Call& call = forwarder.calls.at(id);
+  const bool may_hedge = call.route.repeat == RepeatRule::kIdempotent &&
+                         !call.caller_left && call.in_flight.size() == 1 &&
+                         call.attempts < call.route.max_attempts;
+  if (!may_hedge) return;
+  const Attempt& first = forwarder.attempts.at(call.in_flight.front());
+  ServiceState& service = forwarder.services.at(call.service);
+  const bool is_out = detection::StateOf(*service.detector, first.server) ==
+                      detection::ServerState::kEjected;
+  const Duration age = context.now - first.sent_at;
+  if (!is_out && age < call.route.target_latency / kHedgeDivisor) return;
+  if (context.now - call.hedge_tried_at < kHedgePause) return;
+  call.hedge_tried_at = context.now;
+  const auto placement =
+      routing::Place(*service.router, MakeDemand(call, id, true, false),
+                     context.now, forwarder.random);
+  if (const auto* dispatch = std::get_if<routing::Dispatch>(&placement)) {
+    ++forwarder.counters.hedges;
+    Send(context, id, *dispatch);
+  } else if (std::holds_alternative<routing::Queued>(placement)) {
+    // The first attempt goes on; waiting for another server gains nothing.
+    routing::Forget(*service.router, id);
+  }
+}
+
+void Leave(Context& context, CallId id) {
+  Forwarder& forwarder = context.forwarder;
+  const auto it = forwarder.calls.find(id);
+  if (it == forwarder.calls.end()) return;
+  Call& call = it->second;
+  ++forwarder.counters.abandoned;
+  Log(context, LogEvent::kCallCancelled,
+      {{"request", call.request->request_id},
+       {"age_ms", Text(context.now - call.arrived_at)}});
+  if (call.is_queued) {
+    routing::Forget(*forwarder.services.at(call.service).router, id);
+  }
+  call.caller_left = true;
+  if (call.route.repeat == RepeatRule::kIdempotent) {
+    for (const AttemptId attempt : std::vector<AttemptId>(call.in_flight)) {
+      forwarder.actions.emplace_back(CancelAttempt{attempt});
+      EndAttempt(context, attempt, detection::AttemptEnd::kAbandoned);
+    }
+  }
+  if (call.in_flight.empty()) forwarder.calls.erase(id);
+}
+
+void GiveUpAtDeadline(Context& context, CallId id) {
+  Forwarder& forwarder = context.forwarder;
+  Call& call = forwarder.calls.at(id);
+  if (call.is_queued) {
+    routing::Forget(*forwarder.services.at(call.service).router, id);
+  }
+  for (const AttemptId attempt : std::vector<AttemptId>(call.in_flight)) {
+    forwarder.actions.emplace_back(CancelAttempt{attempt});
+    call.may_have_run = true;
+    EndAttempt(context, attempt, detection::AttemptEnd::kTimeout);
+  }
+  const ResultCode code = call.may_have_run
+                              ? ResultCode::kDeadlineAfterDispatch
+                              : ResultCode::kDeadlineBeforeDispatch;
+  AnswerOwn(context, id, code, kNotReadyRetryAfter);
+}
+
+void AnswerOwn(Context& context, CallId id, ResultCode code,
+               Duration retry_after) {
+  CallerAnswer answer;
+  answer.code = code;
+  answer.status = StatusOf(code);
+  if (answer.status == kStatusUnavailable) answer.retry_after = retry_after;
+  Finish(context, id, std::move(answer));
+}
+
+void Finish(Context& context, CallId id, CallerAnswer answer) {
+  Forwarder& forwarder = context.forwarder;
+  const auto it = forwarder.calls.find(id);
+  Call& call = it->second;
+  const bool is_own = answer.code != ResultCode::kDone;
+  const bool is_refused = answer.status == kStatusUnavailable && is_own;
+  if (is_refused) {
+    ++forwarder.counters.refused;
+  } else if (is_own) {
+    ++forwarder.counters.failed;
+  } else {
+    ++forwarder.counters.delivered;
+  }
+  Log(context, is_refused ? LogEvent::kCallRefused : LogEvent::kCallAnswered,
+      {{"request", call.request->request_id},
+       {"route", call.route.name},
+       {"status", std::to_string(answer.status)},
+       {"code", std::to_string(static_cast<int>(answer.code))},
+       {"attempts", std::to_string(call.attempts)},
+       {"last_failure", call.last_failure},
+       {"took_ms", Text(context.now - call.arrived_at)}});
+  if (!call.caller_left) {
+    forwarder.actions.emplace_back(AnswerCaller{id, std::move(answer)});
+  }
+  forwarder.calls.erase(it);
+}
+
+}  // namespace ibisladder::gateway::Internal
--- /dev/null
+++ b/src/libs/gateway/services.cc
@@ -0,0 +1,243 @@
+// Services and their servers: lists, detection states, evidence.
+#include <algorithm>
+
+#include "libs/gateway/forwarder_state.h"
+
+namespace ibisladder::gateway::Internal {
+namespace {
+
+/// Time over which a new server's share grows: servers say that they are slow
+/// for about three seconds.
+constexpr Duration kWarmUp = Seconds(3);
+/// Words of peers are forgotten after 2.5 s.
+constexpr Duration kShareInterval = Seconds(1);
+/// Digests of one service that are told at a time.
+constexpr std::size_t kMostDigests = 16;
+/// In 1/16 nat: less is not worth telling.
+constexpr std::int16_t kLeastTold = 16;
+
+declarations::Service MakeTerms(const Forwarder& forwarder,
+                                const ServiceTerms& declared) {
+  declarations::Service terms;
+  terms.name = declared.name;
+  terms.floor_percent = forwarder.settings.floor_percent;
+  terms.false_ejections_per_server_day =
+      forwarder.settings.false_ejections_per_server_day;
+  terms.warm_up = kWarmUp;
+  terms.queue_limit = forwarder.settings.queue_limit;
+  terms.health_path = declared.health_path;
+  return terms;
+}
+
+bool HasIdempotentRoute(const Configuration& configuration,
+                        const std::string& service) {
+  return std::ranges::any_of(configuration.routes, [&](const Route& route) {
+    const bool is_idempotent = route.repeat == RepeatRule::kIdempotent;
+    return is_idempotent &&
+           std::ranges::any_of(route.services, [&](const auto& it) {
+             return it.service == service;
+           });
+  });
+}
+
+/// Second attempts are shared out over the instances that callers use; half of
+/// them are kept for requests that a server declined.
+routing::RetryAllowance AllowanceOf(const Forwarder& forwarder) {
+  const std::size_t instances = std::max<std::size_t>(forwarder.fleet_size, 1);
+  const std::size_t burst = forwarder.settings.retry_slack / instances / 2;
+  routing::RetryAllowance allowance;
+  allowance.percent = forwarder.settings.retry_percent / 2;
+  allowance.burst =
+      static_cast<std::uint8_t>(std::clamp<std::size_t>(burst, 1, 100));
+  return allowance;
+}
+
+void InstallService(Context& context, const ServiceTerms& declared) {
+  Forwarder& forwarder = context.forwarder;
+  ServiceState& service = forwarder.services[MakeServiceId(declared.name)];
+  const bool has_idempotent_work =
+      HasIdempotentRoute(*forwarder.routes->configuration, declared.name);
+  service.terms = MakeTerms(forwarder, declared);
+  service.terms.servers.clear();
+  service.has_idempotent_work = has_idempotent_work;
+  service.is_configured = true;
+  if (service.detector == nullptr) {
+    service.detector = detection::MakeDetector(
+        service.terms, has_idempotent_work, context.now);
+    service.router = routing::MakeRouter(service.terms, forwarder.settings.zone,
+                                         context.now);
+  } else {
+    detection::UpdateSettings(*service.detector, service.terms,
+                              has_idempotent_work);
+    routing::UpdateSettings(*service.router, service.terms);
+  }
+}
+
+std::uint16_t MaxConnections(const Forwarder& forwarder,
+                             const ServiceState& service) {
+  for (const auto& it : forwarder.routes->configuration->services) {
+    if (it.name == service.terms.name) return it.max_connections;
+  }
+  return ServiceTerms{}.max_connections;
+}
+
+bool IsClosed(const KnownServer& server) {
+  return server.entry.draining || server.replaced;
+}
+
+std::string NameOf(const ServiceState& service, BackendServerId id) {
+  const auto it = service.servers.find(id);
+  return it == service.servers.end() ? "unknown" : it->second.entry.name;
+}
+
+LogEvent EventOf(detection::ServerState state) {
+  switch (state) {
+    case detection::ServerState::kHealthy:
+      return LogEvent::kServerRestored;
+    case detection::ServerState::kEjected:
+      return LogEvent::kServerEjected;
+    case detection::ServerState::kProbation:
+      return LogEvent::kServerProbation;
+    case detection::ServerState::kLastResort:
+      break;
+  }
+  return LogEvent::kEjectionRefusedByFloor;
+}
+
+/// Takes the servers of one service over from the list.
+void ReplaceServers(Context& context, ServiceState& service) {
+  auto known = std::move(service.servers);
+  const bool is_first = known.empty();
+  service.servers.clear();
+  for (const auto& entry : context.forwarder.entries) {
+    if (entry.service != service.terms.name) continue;
+    const BackendServerId id = IdOf(entry);
+    KnownServer server;
+    server.warm_since = context.now - kWarmUp;
+    if (!is_first || entry.warm_up_left > Duration::zero()) {
+      server.warm_since = context.now - kWarmUp + entry.warm_up_left;
+    }
+    if (const auto it = known.find(id); it != known.end()) {
+      server = it->second;
+    } else if (!is_first) {
+      Log(context, LogEvent::kServerListed,
+          {{"service", entry.service}, {"server", entry.name}});
+    }
+    if (entry.draining && !server.entry.draining) {
+      Log(context, LogEvent::kServerLeaving,
+          {{"service", entry.service}, {"server", entry.name}});
+    }
+    server.entry = entry;
+    service.servers.insert_or_assign(id, std::move(server));
+  }
+  for (const auto& [id, server] : known) {
+    if (service.servers.contains(id)) continue;
+    Log(context, LogEvent::kServerRemoved,
+        {{"service", service.terms.name}, {"server", server.entry.name}});
+  }
+}
+
+void SetMembers(Context& context, ServiceState& service) {
+  std::vector<detection::Member> members;
+  for (const auto& [id, server] : service.servers) {
+    members.push_back({id, server.entry.slots, IsClosed(server)});
+  }
+  detection::SetMembers(*service.detector, members, context.now);
+}
+
+}  // namespace
+
+void RefreshRouter(Context& context, ServiceState& service) {
+  const Forwarder& forwarder = context.forwarder;
+  const std::uint16_t connections = MaxConnections(forwarder, service);
+  std::vector<routing::Candidate> candidates;
+  for (const auto& [id, server] : service.servers) {
+    routing::Candidate it;
+    it.id = id;
+    it.zone = server.entry.zone;
+    it.slots = server.entry.slots;
+    it.max_connections = connections;
+    it.state = detection::StateOf(*service.detector, id);
+    it.closed = IsClosed(server);
+    it.warm_since = server.warm_since;
+    candidates.push_back(std::move(it));
+  }
+  routing::SetCandidates(*service.router, candidates, forwarder.fleet_size,
+                         context.now);
+  routing::SetRetryAllowance(*service.router, AllowanceOf(forwarder));
+}
+
+void ApplyServers(Context& context) {
+  if (!context.forwarder.routes) return;
+  for (auto& [id, service] : context.forwarder.services) {
+    ReplaceServers(context, service);
+    SetMembers(context, service);
+    RefreshRouter(context, service);
+  }
+}
+
+void ApplyConfiguration(Context& context) {
+  Forwarder& forwarder = context.forwarder;
+  for (auto& [id, service] : forwarder.services) service.is_configured = false;
+  for (const auto& it : forwarder.routes->configuration->services) {
+    InstallService(context, it);
+  }
+  ApplyServers(context);
+  Log(context, LogEvent::kConfigurationInstalled,
+      {{"version",
+        std::to_string(forwarder.routes->configuration->version.value())},
+       {"routes",
+        std::to_string(forwarder.routes->configuration->routes.size())}});
+}
+
+void Evaluate(Context& context, ServiceState& service) {
+  const auto changes = detection::Evaluate(*service.detector, context.now,
+                                           context.forwarder.random);
+  if (changes.empty()) return;
+  for (const auto& it : changes) {
+    if (it.to == detection::ServerState::kEjected) {
+      ++context.forwarder.counters.ejections;
+    }
+    Log(context, EventOf(it.to),
+        {{"service", service.terms.name},
+         {"server", NameOf(service, it.server)},
+         {"reason", it.reason}});
+  }
+  RefreshRouter(context, service);
+}
+
+void ShareOwnEvidence(Context& context, ServiceId id, ServiceState& service,
+                      bool at_once) {
+  const bool is_due =
+      context.now - service.evidence_shared_at >= kShareInterval;
+  if (!at_once && !is_due) return;
+  auto digests =
+      detection::OwnDigests(*service.detector, id, kMostDigests, context.now);
+  std::erase_if(digests, [](const auto& it) { return it.score < kLeastTold; });
+  if (digests.empty()) return;
+  service.evidence_shared_at = context.now;
+  context.forwarder.actions.emplace_back(ShareEvidence{std::move(digests)});
+}
+
+void SendDueProbes(Context& context, ServiceState& service) {
+  for (const auto id : detection::ProbesDue(*service.detector, context.now)) {
+    const auto it = service.servers.find(id);
+    if (it == service.servers.end()) continue;
+    const ServerEntry& entry = it->second.entry;
+    context.forwarder.actions.emplace_back(
+        SendProbe{id, entry.endpoint, entry.name, service.terms.health_path});
+  }
+}
+
+void MarkReplaced(Context& context, ServiceState& service,
+                  BackendServerId server) {
+  const auto it = service.servers.find(server);
+  if (it == service.servers.end() || it->second.replaced) return;
+  it->second.replaced = true;
+  Log(context, LogEvent::kServerReplaced,
+      {{"service", service.terms.name}, {"server", it->second.entry.name}});
+  SetMembers(context, service);
+  RefreshRouter(context, service);
+}
+
+}  // namespace ibisladder::gateway::Internal
--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -2,6 +2,8 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
@@ -28,6 +30,19 @@
   return result;
 }
 
+void SetKeepAliveProbes(int fd) {
+  constexpr int kProbeSeconds = 1;
+  constexpr int kLostProbes = 2;
+  const int on = 1;
+  if (fd < 0) return;
+  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &kProbeSeconds,
+             sizeof(kProbeSeconds));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &kProbeSeconds,
+             sizeof(kProbeSeconds));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &kLostProbes, sizeof(kLostProbes));
+}
+
 std::optional<evhttp_cmd_type> MethodType(const std::string& method) {
   static const std::array<std::pair<const char*, evhttp_cmd_type>, 7> kTypes = {
       {{"GET", EVHTTP_REQ_GET},
@@ -153,6 +168,12 @@
     if (exchanges_.count(call.id) == 0) return;
     it.request = nullptr;
     FailLater(call.id, HttpFailure::kConnectFailed);
+    return;
+  }
+  if (call.keep_alive_probes) {
+    const int fd =
+        bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+    SetKeepAliveProbes(fd);
   }
 }
 
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -30,6 +30,9 @@
   std::size_t max_answer_bytes = 4U << 20U;
   /// Connections to the endpoint at the most.
   std::size_t max_connections = 64;
+  /// Probe a silent connection each second, so that one that has lost its path
+  /// fails within about three seconds.
+  bool keep_alive_probes = false;
 };
 
 struct HttpAnswer {
--- a/src/libs/routing/router.cc
+++ b/src/libs/routing/router.cc
@@ -212,6 +212,13 @@
   Internal::SetPercent(router.retries, service.retry_budget_percent);
 }
 
+void SetRetryAllowance(Router& router, const RetryAllowance& allowance) {
+  for (Internal::RetryBudget* it : {&router.retries, &router.shed_retries}) {
+    it->burst = allowance.burst;
+    Internal::SetPercent(*it, allowance.percent);
+  }
+}
+
 void SetCandidates(Router& router, std::span<const Candidate> candidates,
                    std::size_t fleet_size, TimePoint /*now*/) {
   std::vector<Internal::ServerLoad> servers;
--- a/src/libs/routing/router.h
+++ b/src/libs/routing/router.h
@@ -70,6 +70,14 @@
 };
 using Placement = std::variant<Dispatch, Queued, Refused>;
 
+/// Second attempts that this instance may make; each kind on its own.
+struct RetryAllowance {
+  /// Per 100 first attempts.
+  std::uint8_t percent = 10;
+  /// Saved up at the most, and there at the start.
+  std::uint8_t burst = 5;
+};
+
 /// What Pump decided for a call that was queued.
 struct Placed {
   CallId call;
@@ -90,6 +98,9 @@
 // Commands.
 
 void UpdateSettings(Router& router, const declarations::Service& service);
+/// Bounds second attempts after failures, and those after declines, by the same
+/// allowance each; without it declines have a generous one.
+void SetRetryAllowance(Router& router, const RetryAllowance& allowance);
 /// Known servers keep their load state.
 void SetCandidates(Router& router, std::span<const Candidate> candidates,
                    std::size_t fleet_size, TimePoint now);
--- /dev/null
+++ b/src/libs/storesync/backoff.cc
@@ -0,0 +1,23 @@
+#include "libs/storesync/backoff.h"
+
+#include <algorithm>
+
+namespace ibisladder::storesync {
+namespace {
+
+constexpr std::uint32_t kMostDoublings = 8;
+
+}  // namespace
+
+Duration SpreadBackoff(const BackoffLimits& limits, std::uint32_t failures,
+                       Random& random) {
+  const std::uint32_t doublings =
+      std::min(failures > 0 ? failures - 1 : 0, kMostDoublings);
+  const Duration base =
+      std::min(limits.first * (1U << doublings), limits.longest);
+  const auto spread = static_cast<std::uint64_t>(base.count());
+  return base / 2 +
+         Micros(static_cast<std::int64_t>(UniformBelow(random, spread)));
+}
+
+}  // namespace ibisladder::storesync
--- /dev/null
+++ b/src/libs/storesync/store_view.cc
@@ -0,0 +1,172 @@
+#include "libs/storesync/store_view.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "libs/storesync/backoff.h"
+
+namespace ibisladder::storesync {
+namespace {
+
+/// Failures in a row from which on the store counts as out of reach.
+constexpr std::uint32_t kOutageFailures = 2;
+/// Without a reply for so long there has been an outage, whatever it was.
+constexpr Duration kOutageSilence = Seconds(3);
+
+void StartListing(StoreView& view) {
+  view.is_listing = true;
+  view.listing.clear();
+  view.list_after.clear();
+  view.listed_at.reset();
+}
+
+/// Whether a key that is missing now may only have lapsed.
+bool MayComeBack(const StoreView& view, TimePoint now) {
+  return view.had_outage && now - view.returned_at < view.settings.lapse_grace;
+}
+
+bool Remove(StoreView& view, const std::string& key, TimePoint now) {
+  if (!view.items.contains(key)) return false;
+  if (MayComeBack(view, now)) {
+    view.missing.emplace(key, view.returned_at + view.settings.lapse_grace);
+    return false;
+  }
+  view.missing.erase(key);
+  return view.items.erase(key) > 0;
+}
+
+bool Store(StoreView& view, Item item) {
+  view.missing.erase(item.key);
+  Item& known = view.items[item.key];
+  if (!known.key.empty() && known.changed_at >= item.changed_at) return false;
+  known = std::move(item);
+  return true;
+}
+
+bool InstallList(StoreView& view, TimePoint now) {
+  bool changed = !view.is_complete;
+  std::vector<std::string> absent;
+  for (const auto& [key, item] : view.items) {
+    if (!view.listing.contains(key)) absent.push_back(key);
+  }
+  for (const auto& key : absent) changed |= Remove(view, key, now);
+  for (auto& [key, item] : view.listing) {
+    changed |= Store(view, std::move(item));
+  }
+  view.revision = *view.listed_at;
+  view.is_complete = true;
+  view.is_listing = false;
+  view.listing.clear();
+  return changed;
+}
+
+bool TakePage(StoreView& view, const RangeReply& reply, TimePoint now) {
+  if (!view.listed_at) view.listed_at = reply.store_revision;
+  for (const auto& it : reply.items) view.listing[it.key] = it;
+  if (reply.has_more && !reply.items.empty()) {
+    view.list_after = reply.items.back().key;
+    return false;
+  }
+  return InstallList(view, now);
+}
+
+bool TakeChanges(StoreView& view, const WatchReply& reply, TimePoint now) {
+  bool changed = false;
+  for (const auto& it : reply.changes) {
+    if (it.value) {
+      changed |= Store(view, {it.key, *it.value, it.changed_at});
+    } else {
+      changed |= Remove(view, it.key, now);
+    }
+  }
+  view.revision = std::max(view.revision, reply.store_revision);
+  view.next_call_at = now + view.settings.pace;
+  return changed;
+}
+
+void NoteReturn(StoreView& view, TimePoint now) {
+  const bool was_out =
+      view.failures >= kOutageFailures ||
+      (view.is_complete &&
+       now - view.heard_at > view.settings.watch_wait + kOutageSilence);
+  if (was_out && view.is_complete) {
+    view.had_outage = true;
+    view.returned_at = now;
+  }
+  view.failures = 0;
+  view.heard_at = now;
+}
+
+}  // namespace
+
+const char* ReasonName(CallFailed::Reason reason) {
+  switch (reason) {
+    case CallFailed::Reason::kNoReply:
+      return "no_reply";
+    case CallFailed::Reason::kRefused:
+      return "refused";
+    case CallFailed::Reason::kOverQuota:
+      return "over_quota";
+    case CallFailed::Reason::kInvalid:
+      return "invalid_reply";
+  }
+  return "unknown";
+}
+
+StoreView MakeStoreView(const ViewSettings& settings) {
+  StoreView view;
+  view.settings = settings;
+  return view;
+}
+
+std::optional<Call> NextCall(StoreView& view, TimePoint now) {
+  if (view.is_waiting || view.is_paused || now < view.next_call_at) {
+    return std::nullopt;
+  }
+  view.is_waiting = true;
+  if (view.is_listing) {
+    return RangeCall{view.settings.prefix, view.list_after};
+  }
+  return WatchCall{view.settings.prefix, view.revision,
+                   view.settings.watch_wait};
+}
+
+bool HandleReply(StoreView& view, const Reply& reply, TimePoint now,
+                 Random& random) {
+  view.is_waiting = false;
+  if (std::holds_alternative<CallFailed>(reply)) {
+    ++view.failures;
+    view.next_call_at = now + SpreadBackoff({}, view.failures, random);
+    if (view.is_listing) StartListing(view);
+    return false;
+  }
+  NoteReturn(view, now);
+  if (const auto* page = std::get_if<RangeReply>(&reply)) {
+    return TakePage(view, *page, now);
+  }
+  if (const auto* changes = std::get_if<WatchReply>(&reply)) {
+    return TakeChanges(view, *changes, now);
+  }
+  // The history is lost: a list tells what it would have told.
+  StartListing(view);
+  return false;
+}
+
+bool DropMissing(StoreView& view, TimePoint now) {
+  bool changed = false;
+  for (auto it = view.missing.begin(); it != view.missing.end();) {
+    if (now < it->second) {
+      ++it;
+      continue;
+    }
+    changed |= view.items.erase(it->first) > 0;
+    it = view.missing.erase(it);
+  }
+  return changed;
+}
+
+void Adopt(StoreView& view, std::vector<Item> items) {
+  for (auto& it : items) Store(view, std::move(it));
+}
+
+}  // namespace ibisladder::storesync
--- /dev/null
+++ b/src/libs/storesync/store_view.h
@@ -0,0 +1,66 @@
+#ifndef LIBS_STORESYNC_STORE_VIEW_H_
+#define LIBS_STORESYNC_STORE_VIEW_H_
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "libs/base/random.h"
+#include "libs/storesync/kv_messages.h"
+
+/// A copy of the keys below one prefix that survives outages of the store. No
+/// sockets or clocks: replies and the time go in, calls come out.
+namespace ibisladder::storesync {
+
+struct ViewSettings {
+  std::string prefix;
+  /// Longest wait of one watch.
+  Duration watch_wait = Seconds(20);
+  /// Least time between two watches, so that frequent changes come in batches.
+  Duration pace{};
+  /// After an outage, time in which lapsed keys are expected back.
+  Duration lapse_grace = Seconds(2);
+};
+
+struct StoreView {
+  ViewSettings settings;
+  std::map<std::string, Item> items;
+  /// Keys that the store no longer has, and when they count as gone.
+  std::map<std::string, TimePoint> missing;
+  /// Whether a whole list has been read.
+  bool is_complete = false;
+  bool is_paused = false;
+
+  /// Keys of the list that is being read.
+  std::map<std::string, Item> listing;
+  std::string list_after;
+  std::optional<Revision> listed_at;
+  bool is_listing = true;
+  Revision revision;
+
+  bool is_waiting = false;
+  TimePoint next_call_at;
+  /// Failures in a row.
+  std::uint32_t failures = 0;
+  /// End of the last outage.
+  TimePoint returned_at;
+  bool had_outage = false;
+  /// Last reply of the store.
+  TimePoint heard_at;
+};
+
+StoreView MakeStoreView(const ViewSettings& settings);
+
+/// The call to make now, if any; the view waits for its reply from then on.
+std::optional<Call> NextCall(StoreView& view, TimePoint now);
+/// Whether `items` may have changed.
+bool HandleReply(StoreView& view, const Reply& reply, TimePoint now,
+                 Random& random);
+/// Drops keys whose time to come back is over; whether any was dropped.
+bool DropMissing(StoreView& view, TimePoint now);
+/// Items learnt elsewhere, for a view that has none of its own.
+void Adopt(StoreView& view, std::vector<Item> items);
+
+}  // namespace ibisladder::storesync
+
+#endif  // LIBS_STORESYNC_STORE_VIEW_H_
--- /dev/null
+++ b/src/plugins/fleet/fleet_task.h
@@ -0,0 +1,134 @@
+#ifndef PLUGINS_FLEET_FLEET_TASK_H_
+#define PLUGINS_FLEET_FLEET_TASK_H_
+
+#include <sigc++/sigc++.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "libs/base/log_event.h"
+#include "libs/detection/detector.h"
+#include "libs/gateway/configuration.h"
+#include "libs/gateway/directory.h"
+#include "libs/net/event_loop.h"
+#include "libs/net/udp_socket.h"
+#include "libs/storesync/registration.h"
+#include "libs/storesync/store_view.h"
+#include "plugins/fleet/kv_transport.h"
+
+/// What an instance knows of configuration, servers and other instances, and
+/// what it tells the others.
+namespace ibisladder::fleet {
+
+/// How the store's items are read; an error for what is not understood.
+struct ItemReader {
+  Expected<gateway::Configuration> (*read_configuration)(
+      std::string_view value);
+  Expected<gateway::ServerEntry> (*read_server)(std::string_view key,
+                                                std::string_view value);
+  std::string configuration_prefix;
+  std::string configuration_key;
+  std::string servers_prefix;
+  std::string members_prefix;
+};
+
+class FleetTask {
+ public:
+  struct Options {
+    gateway::Member self;
+    ItemReader reader;
+    gateway::DirectorySettings directory;
+    /// Least time between two reads of the servers' changes.
+    Duration servers_pace = Millis(800);
+    std::uint64_t seed = 1;
+  };
+
+  /// kInternal when the peers' endpoint cannot be bound.
+  static Expected<std::unique_ptr<FleetTask>> Create(
+      net::EventLoop& loop, const Options& options,
+      std::unique_ptr<KvTransport> transport);
+
+  /// Tells all other instances.
+  void ShareEvidence(const std::vector<detection::Digest>& digests);
+  /// Takes this instance out of the others' lists.
+  void Leave();
+
+  std::vector<Endpoint> AddressesFor(const ZoneName& zone) const;
+  std::size_t members() const { return members_.size(); }
+  /// Failed and all calls of the store since the start.
+  std::uint64_t store_calls() const { return last_call_; }
+  std::uint64_t store_failures() const { return failures_; }
+  /// Whether the servers' list has been read once.
+  bool has_servers() const { return servers_.is_complete; }
+
+  sigc::signal<void(const gateway::ConfigurationPtr&)>& signal_configuration() {
+    return configuration_changed_;
+  }
+  sigc::signal<void(const std::vector<gateway::ServerEntry>&)>&
+  signal_servers() {
+    return servers_changed_;
+  }
+  /// Instances that callers are sent to.
+  sigc::signal<void(std::size_t)>& signal_in_use() { return in_use_changed_; }
+  sigc::signal<void(InstanceId, const std::vector<detection::Digest>&)>&
+  signal_evidence() {
+    return evidence_;
+  }
+  sigc::signal<void(const LogLine&)>& signal_log() { return log_; }
+
+ private:
+  FleetTask(net::EventLoop& loop, Options options,
+            std::unique_ptr<KvTransport> transport,
+            std::unique_ptr<net::UdpSocket> peers);
+
+  enum class Asker : std::uint8_t {
+    kConfiguration,
+    kServers,
+    kMembers,
+    kRegistration
+  };
+
+  void Connect();
+  void Step();
+  void SendDue(storesync::StoreView& view, Asker asker);
+  void SendDueRegistration();
+  void Send(Asker asker, const storesync::Call& call);
+  void HandleReply(std::uint64_t id, const storesync::Reply& reply);
+  void NoteReach(const storesync::Reply& reply);
+  void ApplyConfiguration();
+  void ApplyServers();
+  void ApplyMembers();
+  void HandleDatagram(const net::Datagram& datagram);
+  void Log(LogEvent event, std::vector<LogField> fields);
+
+  Options options_;
+  std::unique_ptr<KvTransport> transport_;
+  std::unique_ptr<net::UdpSocket> peers_;
+  Random random_;
+  storesync::StoreView configuration_;
+  storesync::StoreView servers_;
+  storesync::StoreView member_items_;
+  storesync::Registration registration_;
+  std::vector<gateway::Member> members_;
+  std::vector<gateway::ServerEntry> entries_;
+  std::map<std::string, storesync::Revision> unreadable_;
+  std::uint64_t last_call_ = 0;
+  std::uint64_t failures_ = 0;
+  std::map<std::uint64_t, Asker> open_calls_;
+  bool is_store_lost_ = false;
+  std::uint32_t failures_in_row_ = 0;
+  net::Timer step_;
+  sigc::signal<void(const gateway::ConfigurationPtr&)> configuration_changed_;
+  sigc::signal<void(const std::vector<gateway::ServerEntry>&)> servers_changed_;
+  sigc::signal<void(std::size_t)> in_use_changed_;
+  sigc::signal<void(InstanceId, const std::vector<detection::Digest>&)>
+      evidence_;
+  sigc::signal<void(const LogLine&)> log_;
+};
+
+}  // namespace ibisladder::fleet
+
+#endif  // PLUGINS_FLEET_FLEET_TASK_H_
--- /dev/null
+++ b/src/plugins/fleet/kv_transport.h
@@ -0,0 +1,30 @@
+#ifndef PLUGINS_FLEET_KV_TRANSPORT_H_
+#define PLUGINS_FLEET_KV_TRANSPORT_H_
+
+#include <sigc++/sigc++.h>
+
+#include <cstdint>
+
+#include "libs/storesync/kv_messages.h"
+
+namespace ibisladder::fleet {
+
+/// Carries calls to the store. Each call ends with one reply, never from
+/// within Send.
+class KvTransport {
+ public:
+  virtual ~KvTransport() = default;
+
+  virtual void Send(std::uint64_t id, const storesync::Call& call) = 0;
+
+  sigc::signal<void(std::uint64_t, const storesync::Reply&)>& signal_reply() {
+    return reply_;
+  }
+
+ private:
+  sigc::signal<void(std::uint64_t, const storesync::Reply&)> reply_;
+};
+
+}  // namespace ibisladder::fleet
+
+#endif  // PLUGINS_FLEET_KV_TRANSPORT_H_
--- /dev/null
+++ b/src/plugins/gateway/caller_connections.cc
@@ -0,0 +1,303 @@
+#include "plugins/gateway/caller_connections.h"
+
+#include <event2/buffer.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <deque>
+#include <optional>
+#include <utility>
+
+#include "libs/http1/message_parser.h"
+#include "libs/net/socket_address.h"
+
+namespace ibisladder::gateway {
+
+namespace Internal {
+
+/// A request's place in the order of answers.
+struct Place {
+  CallId call;
+  bool is_head = false;
+  bool keep_alive = true;
+  std::optional<std::string> bytes;
+  bool close = false;
+};
+
+struct CallerConnection {
+  CallerConnection(CallerConnections* owner, std::uint64_t number,
+                   bufferevent* socket, const http1::Limits& limits)
+      : connections(owner),
+        id(number),
+        bev(socket),
+        parser(http1::RequestParser::Create(limits)) {}
+  ~CallerConnection() { bufferevent_free(bev); }
+  CallerConnection(const CallerConnection&) = delete;
+  CallerConnection& operator=(const CallerConnection&) = delete;
+
+  CallerConnections* connections;
+  std::uint64_t id;
+  bufferevent* bev;
+  http1::RequestParser parser;
+  std::deque<Place> places;
+  /// No further request is taken from it.
+  bool is_last_read = false;
+  /// Closes when all is written.
+  bool closes_when_written = false;
+  /// Written and shut down; waits for the caller to close.
+  bool is_lingering = false;
+  /// When a byte last arrived or left, or a request was answered.
+  TimePoint active_at;
+  TimePoint message_began_at;
+  TimePoint lingers_since;
+};
+
+}  // namespace Internal
+
+using Internal::CallerConnection;
+using Internal::Place;
+
+namespace {
+
+constexpr int kBacklog = 1024;
+/// Requests of one connection that are read ahead.
+constexpr std::size_t kMostReadAhead = 32;
+/// Unsent answers of one connection above which no more is read, bytes.
+constexpr std::size_t kMostUnsent = 1U << 20U;
+/// Bytes taken from a socket at a time.
+constexpr std::size_t kReadBytes = 16384;
+/// Time that a caller has to close its side after the last answer: closing
+/// before would reset the connection when bytes are on their way.
+constexpr Duration kLingerTime = Seconds(1);
+
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusRequestTimeout = 408;
+constexpr int kStatusTooLarge = 413;
+constexpr int kStatusHeadersTooLarge = 431;
+
+int StatusOf(http1::ParseFailure failure) {
+  switch (failure) {
+    case http1::ParseFailure::kHeadersTooLarge:
+      return kStatusHeadersTooLarge;
+    case http1::ParseFailure::kBodyTooLarge:
+      return kStatusTooLarge;
+    case http1::ParseFailure::kMalformed:
+      break;
+  }
+  return kStatusBadRequest;
+}
+
+std::size_t Unsent(const CallerConnection& connection) {
+  return evbuffer_get_length(bufferevent_get_output(connection.bev));
+}
+
+}  // namespace
+
+Expected<std::unique_ptr<CallerConnections>> CallerConnections::Listen(
+    net::EventLoop& loop, const Endpoint& endpoint) {
+  auto address = net::ToSocketAddress(endpoint);
+  if (!address) return tl::unexpected<Error>(address.error());
+  std::unique_ptr<CallerConnections> result(new CallerConnections(loop));
+  result->listener_.reset(evconnlistener_new_bind(
+      loop.base(), &CallerConnections::OnAccept, result.get(),
+      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+      kBacklog, address->get(), static_cast<int>(address->size)));
+  if (result->listener_ == nullptr) {
+    return Fail(ResultCode::kInternal, FormatEndpoint(endpoint),
+                "the callers' endpoint cannot be bound");
+  }
+  return result;
+}
+
+CallerConnections::CallerConnections(net::EventLoop& loop) : loop_(loop) {}
+
+CallerConnections::~CallerConnections() = default;
+
+void CallerConnections::OnAccept(evconnlistener* /*listener*/,
+                                 evutil_socket_t fd, sockaddr* /*address*/,
+                                 int /*size*/, void* self) {
+  auto& owner = *static_cast<CallerConnections*>(self);
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  bufferevent* bev =
+      bufferevent_socket_new(owner.loop_.base(), fd, BEV_OPT_CLOSE_ON_FREE);
+  const std::uint64_t id = ++owner.last_connection_;
+  const http1::Limits limits{owner.limits_.header_bytes,
+                             owner.limits_.body_bytes};
+  auto connection = std::make_unique<CallerConnection>(&owner, id, bev, limits);
+  connection->active_at = net::MonotonicNow();
+  bufferevent_setcb(bev, &CallerConnections::OnReadable,
+                    &CallerConnections::OnWritten, &CallerConnections::OnEvent,
+                    connection.get());
+  bufferevent_enable(bev, EV_READ | EV_WRITE);
+  owner.connections_.emplace(id, std::move(connection));
+}
+
+void CallerConnections::OnReadable(bufferevent* /*bev*/, void* connection) {
+  auto& it = *static_cast<CallerConnection*>(connection);
+  it.connections->Read(it);
+}
+
+void CallerConnections::OnWritten(bufferevent* /*bev*/, void* connection) {
+  auto& it = *static_cast<CallerConnection*>(connection);
+  it.active_at = net::MonotonicNow();
+  if (it.closes_when_written && !it.is_lingering) it.connections->Linger(it);
+}
+
+void CallerConnections::OnEvent(bufferevent* /*bev*/, short what,  // NOLINT
+                                void* connection) {
+  auto& it = *static_cast<CallerConnection*>(connection);
+  if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+    it.connections->Close(it.id);
+  }
+}
+
+void CallerConnections::Read(CallerConnection& connection) {
+  evbuffer* input = bufferevent_get_input(connection.bev);
+  const std::uint64_t id = connection.id;
+  connection.active_at = net::MonotonicNow();
+  char buf[kReadBytes];
+  while (evbuffer_get_length(input) > 0) {
+    const int n = evbuffer_remove(input, buf, sizeof(buf));
+    if (n <= 0) return;
+    if (connection.is_last_read || connection.is_lingering) continue;
+    const bool was_in_message = connection.parser.in_message();
+    std::vector<http1::Request> requests;
+    const auto failure = connection.parser.Feed(
+        std::string_view(buf, static_cast<std::size_t>(n)), requests);
+    if (!was_in_message || !requests.empty()) {
+      connection.message_began_at = connection.active_at;
+    }
+    TakeRequests(connection, requests);
+    if (!connections_.contains(id)) return;
+    if (failure && !connection.is_last_read) {
+      RefuseBytes(connection, StatusOf(*failure));
+      return;
+    }
+  }
+  if (connection.parser.TakeExpectsContinue() && connection.places.empty()) {
+    static constexpr std::string_view kContinue =
+        "HTTP/1.1 100 Continue\r\n\r\n";
+    bufferevent_write(connection.bev, kContinue.data(), kContinue.size());
+  }
+  const bool is_full = connection.places.size() >= kMostReadAhead ||
+                       Unsent(connection) >= kMostUnsent;
+  if (is_full) bufferevent_disable(connection.bev, EV_READ);
+}
+
+void CallerConnections::TakeRequests(CallerConnection& connection,
+                                     std::vector<http1::Request>& requests) {
+  const std::uint64_t id = connection.id;
+  for (auto& it : requests) {
+    if (connection.is_last_read) return;
+    const CallId call(++last_call_);
+    connection.places.push_back({call, it.method == "HEAD", it.keep_alive});
+    connection.is_last_read = !it.keep_alive;
+    connection_of_call_.emplace(call, id);
+    request_.emit(call, it);
+    // An answer given at once may have closed the connection.
+    if (!connections_.contains(id)) return;
+  }
+}
+
+void CallerConnections::RefuseBytes(CallerConnection& connection, int status) {
+  connection.is_last_read = true;
+  Place place;
+  place.keep_alive = false;
+  place.close = true;
+  place.bytes = http1::FormatResponse({status, {}, "", false}, true, false);
+  connection.places.push_back(std::move(place));
+  WriteReady(connection);
+}
+
+void CallerConnections::Answer(CallId call, const http1::Response& response,
+                               bool close) {
+  const auto it = connection_of_call_.find(call);
+  if (it == connection_of_call_.end()) return;
+  CallerConnection& connection = *connections_.at(it->second);
+  connection_of_call_.erase(it);
+  const auto place = std::ranges::find(connection.places, call, &Place::call);
+  place->close = close || is_closing_ || !place->keep_alive;
+  place->bytes = http1::FormatResponse(response, place->close, place->is_head);
+  WriteReady(connection);
+}
+
+void CallerConnections::WriteReady(CallerConnection& connection) {
+  while (!connection.places.empty() && connection.places.front().bytes) {
+    const Place place = std::move(connection.places.front());
+    connection.places.pop_front();
+    bufferevent_write(connection.bev, place.bytes->data(), place.bytes->size());
+    if (!place.close) continue;
+    connection.is_last_read = true;
+    connection.closes_when_written = true;
+    // Requests behind the closing answer count as not read; those that were
+    // passed on are given up.
+    const auto dropped = std::exchange(connection.places, {});
+    for (const Place& it : dropped) {
+      if (connection_of_call_.erase(it.call) > 0) left_.emit(it.call);
+    }
+    break;
+  }
+  connection.active_at = net::MonotonicNow();
+  if (!connection.closes_when_written &&
+      connection.places.size() < kMostReadAhead &&
+      Unsent(connection) < kMostUnsent) {
+    bufferevent_enable(connection.bev, EV_READ);
+  }
+}
+
+void CallerConnections::Linger(CallerConnection& connection) {
+  connection.is_lingering = true;
+  connection.lingers_since = net::MonotonicNow();
+  shutdown(bufferevent_getfd(connection.bev), SHUT_WR);
+  bufferevent_enable(connection.bev, EV_READ);
+}
+
+void CallerConnections::Close(std::uint64_t id) {
+  const auto it = connections_.find(id);
+  if (it == connections_.end()) return;
+  const auto connection = std::move(it->second);
+  connections_.erase(it);
+  for (const Place& place : connection->places) {
+    if (connection_of_call_.erase(place.call) > 0) left_.emit(place.call);
+  }
+}
+
+bool CallerConnections::IsOverdue(const CallerConnection& connection,
+                                  TimePoint now) const {
+  if (connection.is_lingering) {
+    return now - connection.lingers_since > kLingerTime;
+  }
+  if (!connection.places.empty()) return false;
+  return now - connection.active_at > limits_.idle_timeout;
+}
+
+void CallerConnections::Sweep(TimePoint now) {
+  std::vector<std::uint64_t> overdue;
+  std::vector<CallerConnection*> slow;
+  for (const auto& [id, connection] : connections_) {
+    if (IsOverdue(*connection, now)) {
+      overdue.push_back(id);
+    } else if (connection->parser.in_message() && !connection->is_last_read &&
+               now - connection->message_began_at > limits_.header_timeout &&
+               now - connection->active_at > limits_.header_timeout) {
+      slow.push_back(connection.get());
+    }
+  }
+  for (const std::uint64_t it : overdue) Close(it);
+  for (CallerConnection* it : slow) RefuseBytes(*it, kStatusRequestTimeout);
+}
+
+void CallerConnections::CloseUnused() {
+  std::vector<std::uint64_t> unused;
+  for (const auto& [id, connection] : connections_) {
+    const bool is_used = !connection->places.empty() ||
+                         connection->parser.in_message() ||
+                         connection->is_lingering || Unsent(*connection) > 0;
+    if (!is_used) unused.push_back(id);
+  }
+  for (const std::uint64_t it : unused) Linger(*connections_.at(it));
+}
+
+}  // namespace ibisladder::gateway
--- /dev/null
+++ b/src/plugins/gateway/caller_connections.h
@@ -0,0 +1,95 @@
+#ifndef PLUGINS_GATEWAY_CALLER_CONNECTIONS_H_
+#define PLUGINS_GATEWAY_CALLER_CONNECTIONS_H_
+
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <sigc++/sigc++.h>
+
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "libs/base/result_code.h"
+#include "libs/base/strong_types.h"
+#include "libs/gateway/configuration.h"
+#include "libs/http1/message.h"
+#include "libs/net/event_loop.h"
+
+/// Callers' connections: requests are read ahead, answers are written in the
+/// order of the requests.
+namespace ibisladder::gateway {
+
+namespace Internal {
+struct CallerConnection;
+}
+
+class CallerConnections {
+ public:
+  /// kInternal when the endpoint cannot be bound.
+  static Expected<std::unique_ptr<CallerConnections>> Listen(
+      net::EventLoop& loop, const Endpoint& endpoint);
+  ~CallerConnections();
+  CallerConnections(const CallerConnections&) = delete;
+  CallerConnections& operator=(const CallerConnections&) = delete;
+
+  /// For connections opened from now on, but for the times, which hold at once.
+  void SetLimits(const CallerLimits& limits) { limits_ = limits; }
+  /// Does nothing when the caller has left. `close`: no request is read after
+  /// this one.
+  void Answer(CallId call, const http1::Response& response, bool close);
+  /// Every answer from now on is the last one of its connection.
+  void CloseAfterAnswers() { is_closing_ = true; }
+  /// Closes connections that have no request in progress.
+  void CloseUnused();
+  /// Idle and stalled connections; call it about twice a second.
+  void Sweep(TimePoint now);
+
+  /// A whole request; answered by Answer, in any order.
+  sigc::signal<void(CallId, http1::Request&)>& signal_request() {
+    return request_;
+  }
+  /// The caller of an unanswered request closed its connection.
+  sigc::signal<void(CallId)>& signal_left() { return left_; }
+
+  std::size_t open_connections() const { return connections_.size(); }
+
+ private:
+  using ListenerPtr =
+      std::unique_ptr<evconnlistener, void (*)(evconnlistener*)>;
+
+  explicit CallerConnections(net::EventLoop& loop);
+
+  static void OnAccept(evconnlistener* listener, evutil_socket_t fd,
+                       sockaddr* address, int size, void* self);
+  static void OnReadable(bufferevent* bev, void* connection);
+  static void OnWritten(bufferevent* bev, void* connection);
+  static void OnEvent(bufferevent* bev, short what,
+                      void* connection);  // NOLINT
+
+  void Read(Internal::CallerConnection& connection);
+  void TakeRequests(Internal::CallerConnection& connection,
+                    std::vector<http1::Request>& requests);
+  void RefuseBytes(Internal::CallerConnection& connection, int status);
+  void WriteReady(Internal::CallerConnection& connection);
+  void Linger(Internal::CallerConnection& connection);
+  void Close(std::uint64_t id);
+  bool IsOverdue(const Internal::CallerConnection& connection,
+                 TimePoint now) const;
+
+  net::EventLoop& loop_;
+  CallerLimits limits_;
+  bool is_closing_ = false;
+  std::uint64_t last_connection_ = 0;
+  std::uint64_t last_call_ = 0;
+  ListenerPtr listener_{nullptr, &evconnlistener_free};
+  std::unordered_map<std::uint64_t, std::unique_ptr<Internal::CallerConnection>>
+      connections_;
+  std::unordered_map<CallId, std::uint64_t> connection_of_call_;
+  sigc::signal<void(CallId, http1::Request&)> request_;
+  sigc::signal<void(CallId)> left_;
+};
+
+}  // namespace ibisladder::gateway
+
+#endif  // PLUGINS_GATEWAY_CALLER_CONNECTIONS_H_
--- /dev/null
+++ b/src/plugins/gateway/gateway_task.cc
@@ -0,0 +1,156 @@
+#include "plugins/gateway/gateway_task.h"
+
+#include <utility>
+
+namespace ibisladder::gateway {
+namespace {
+
+/// Deadlines and queues are looked at so often.
+constexpr Duration kTickInterval = Millis(25);
+constexpr Duration kSweepInterval = Millis(100);
+constexpr Duration kProbeTimeout = Seconds(1);
+
+}  // namespace
+
+Expected<std::unique_ptr<GatewayTask>> GatewayTask::Create(
+    net::EventLoop& loop, const Options& options) {
+  auto callers = CallerConnections::Listen(loop, options.callers);
+  if (!callers) return tl::unexpected<Error>(callers.error());
+  std::unique_ptr<GatewayTask> task(
+      new GatewayTask(loop, options, std::move(*callers)));
+  task->Connect();
+  return task;
+}
+
+GatewayTask::GatewayTask(net::EventLoop& loop, const Options& options,
+                         std::unique_ptr<CallerConnections> callers)
+    : options_(options),
+      callers_(std::move(callers)),
+      servers_(loop, options.answer_limits, options.dialect.belongs),
+      probes_(loop),
+      forwarder_(MakeForwarder(options.forwarder, net::MonotonicNow())),
+      tick_(loop, net::Timer::Kind::kPeriodic, kTickInterval,
+            [this] { Tick(); }),
+      sweep_(loop, net::Timer::Kind::kPeriodic, kSweepInterval, [this] {
+        const TimePoint now = net::MonotonicNow();
+        callers_->Sweep(now);
+        servers_.Sweep(now);
+        probes_.CloseIdle(now);
+      }) {}
+
+void GatewayTask::Connect() {
+  callers_->signal_request().connect([this](CallId id, http1::Request& it) {
+    RequestArrived(*forwarder_,
+                   options_.dialect.decode_request(id, std::move(it)),
+                   net::MonotonicNow());
+    Perform();
+  });
+  callers_->signal_left().connect([this](CallId id) {
+    CallerLeft(*forwarder_, id, net::MonotonicNow());
+    Perform();
+  });
+  servers_.signal_answer().connect([this](AttemptId id, http1::Response& it) {
+    AttemptAnswered(*forwarder_, id,
+                    options_.dialect.decode_answer(std::move(it)),
+                    net::MonotonicNow());
+    Perform();
+  });
+  servers_.signal_failure().connect([this](AttemptId id, AttemptFailure it) {
+    AttemptFailed(*forwarder_, id, it, net::MonotonicNow());
+    Perform();
+  });
+  const auto probe_ended = [this](std::uint64_t id, const auto& is_well) {
+    const auto it = open_probes_.find(id);
+    if (it == open_probes_.end()) return;
+    const Probe probe = std::move(it->second);
+    open_probes_.erase(it);
+    ProbeEnded(*forwarder_, probe.server, is_well(probe), net::MonotonicNow());
+    Perform();
+  };
+  probes_.signal_answer().connect([this, probe_ended](net::HttpAnswer& it) {
+    probe_ended(it.id, [&](const Probe& probe) {
+      return options_.dialect.is_well(it, probe.server_name);
+    });
+  });
+  probes_.signal_error().connect([probe_ended](const net::HttpError& it) {
+    probe_ended(it.id, [](const Probe&) { return false; });
+  });
+}
+
+void GatewayTask::InstallConfiguration(const ConfigurationPtr& configuration) {
+  gateway::InstallConfiguration(*forwarder_, configuration,
+                                net::MonotonicNow());
+  callers_->SetLimits(CurrentConfiguration(*forwarder_)->limits);
+  Perform();
+}
+
+void GatewayTask::SetServers(std::span<const ServerEntry> entries) {
+  gateway::SetServers(*forwarder_, entries, net::MonotonicNow());
+  Perform();
+}
+
+void GatewayTask::SetFleetSize(std::size_t instances) {
+  gateway::SetFleetSize(*forwarder_, instances, net::MonotonicNow());
+  Perform();
+}
+
+void GatewayTask::MergeEvidence(InstanceId peer,
+                                std::span<const detection::Digest> words) {
+  gateway::MergeEvidence(*forwarder_, peer, words, net::MonotonicNow());
+  Perform();
+}
+
+void GatewayTask::PrepareToStop() { callers_->CloseAfterAnswers(); }
+
+void GatewayTask::StopAccepting() {
+  gateway::StopAccepting(*forwarder_);
+  callers_->CloseUnused();
+}
+
+void GatewayTask::Tick() {
+  gateway::Tick(*forwarder_, net::MonotonicNow());
+  Perform();
+}
+
+void GatewayTask::Perform() {
+  for (auto& action : TakeActions(*forwarder_)) {
+    std::visit([this](auto& it) { Do(it); }, action);
+  }
+}
+
+void GatewayTask::Do(const SendAttempt& action) {
+  const http1::Request request = options_.dialect.encode_attempt(action);
+  servers_.Send({action.attempt, action.server, action.endpoint,
+                 http1::FormatRequest(request, false),
+                 action.request->method == "HEAD", action.request->request_id});
+}
+
+void GatewayTask::Do(const CancelAttempt& action) {
+  servers_.Cancel(action.attempt);
+}
+
+void GatewayTask::Do(AnswerCaller& action) {
+  const bool close = action.answer.close;
+  callers_->Answer(action.call,
+                   options_.dialect.encode_answer(std::move(action.answer)),
+                   close);
+}
+
+void GatewayTask::Do(const SendProbe& action) {
+  const std::uint64_t id = ++last_probe_;
+  open_probes_[id] = {action.server, action.server_name};
+  net::HttpCall call;
+  call.id = id;
+  call.endpoint = action.endpoint;
+  call.target = action.path;
+  call.timeout = kProbeTimeout;
+  probes_.Send(call);
+}
+
+void GatewayTask::Do(const ShareEvidence& action) {
+  evidence_.emit(action.digests);
+}
+
+void GatewayTask::Do(const LogLine& action) { log_.emit(action); }
+
+}  // namespace ibisladder::gateway
--- /dev/null
+++ b/src/plugins/gateway/gateway_task.h
@@ -0,0 +1,100 @@
+#ifndef PLUGINS_GATEWAY_GATEWAY_TASK_H_
+#define PLUGINS_GATEWAY_GATEWAY_TASK_H_
+
+#include <sigc++/sigc++.h>
+
+#include <memory>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+#include "libs/gateway/forwarder.h"
+#include "libs/net/event_loop.h"
+#include "libs/net/http_client.h"
+#include "plugins/gateway/caller_connections.h"
+#include "plugins/gateway/server_connections.h"
+
+/// The gateway's data path: callers' and servers' connections around the
+/// forwarder.
+namespace ibisladder::gateway {
+
+/// How messages look on the wire; each function translates one of them.
+struct Dialect {
+  CallerRequest (*decode_request)(CallId call, http1::Request request);
+  http1::Request (*encode_attempt)(const SendAttempt& attempt);
+  ServerAnswer (*decode_answer)(http1::Response response);
+  http1::Response (*encode_answer)(CallerAnswer answer);
+  ServerConnections::Belongs belongs;
+  /// Whether a health answer says that the named server is well.
+  bool (*is_well)(const net::HttpAnswer& answer, const std::string& server);
+};
+
+class GatewayTask {
+ public:
+  struct Options {
+    Endpoint callers;
+    ForwarderSettings forwarder;
+    Dialect dialect;
+    /// Bounds of a server's answer.
+    http1::Limits answer_limits;
+  };
+
+  /// kInternal when the callers' endpoint cannot be bound.
+  static Expected<std::unique_ptr<GatewayTask>> Create(net::EventLoop& loop,
+                                                       const Options& options);
+
+  // Messages from other tasks.
+
+  void InstallConfiguration(const ConfigurationPtr& configuration);
+  void SetServers(std::span<const ServerEntry> entries);
+  void SetFleetSize(std::size_t instances);
+  void MergeEvidence(InstanceId peer, std::span<const detection::Digest> words);
+  /// Serves what comes, but every answer is the last one of its connection.
+  void PrepareToStop();
+  /// Refuses new requests and closes connections without one.
+  void StopAccepting();
+
+  sigc::signal<void(const std::vector<detection::Digest>&)>& signal_evidence() {
+    return evidence_;
+  }
+  sigc::signal<void(const LogLine&)>& signal_log() { return log_; }
+
+  const Forwarder& forwarder() const { return *forwarder_; }
+  const CallerConnections& callers() const { return *callers_; }
+  const ServerConnections& servers() const { return servers_; }
+
+ private:
+  GatewayTask(net::EventLoop& loop, const Options& options,
+              std::unique_ptr<CallerConnections> callers);
+
+  void Connect();
+  void Tick();
+  void Perform();
+  void Do(const SendAttempt& action);
+  void Do(const CancelAttempt& action);
+  void Do(AnswerCaller& action);
+  void Do(const SendProbe& action);
+  void Do(const ShareEvidence& action);
+  void Do(const LogLine& action);
+
+  struct Probe {
+    BackendServerId server;
+    std::string server_name;
+  };
+
+  Options options_;
+  std::unique_ptr<CallerConnections> callers_;
+  ServerConnections servers_;
+  net::HttpClient probes_;
+  ForwarderPtr forwarder_;
+  net::Timer tick_;
+  net::Timer sweep_;
+  std::uint64_t last_probe_ = 0;
+  std::unordered_map<std::uint64_t, Probe> open_probes_;
+  sigc::signal<void(const std::vector<detection::Digest>&)> evidence_;
+  sigc::signal<void(const LogLine&)> log_;
+};
+
+}  // namespace ibisladder::gateway
+
+#endif  // PLUGINS_GATEWAY_GATEWAY_TASK_H_
--- /dev/null
+++ b/src/plugins/gateway/server_connections.cc
@@ -0,0 +1,273 @@
+#include "plugins/gateway/server_connections.h"
+
+#include <event2/buffer.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+#include "libs/http1/message_parser.h"
+#include "libs/net/socket_address.h"
+
+namespace ibisladder::gateway {
+
+namespace Internal {
+
+struct ServerConnection {
+  ServerConnection(ServerConnections* owner, std::uint64_t number,
+                   bufferevent* socket, const http1::Limits& limits)
+      : connections(owner),
+        id(number),
+        bev(socket),
+        parser(http1::ResponseParser::Create(limits)) {}
+  ~ServerConnection() { bufferevent_free(bev); }
+  ServerConnection(const ServerConnection&) = delete;
+  ServerConnection& operator=(const ServerConnection&) = delete;
+
+  ServerConnections* connections;
+  std::uint64_t id;
+  bufferevent* bev;
+  http1::ResponseParser parser;
+  BackendServerId server;
+  bool is_connected = false;
+  TimePoint opened_at;
+  /// None: idle.
+  std::optional<AttemptId> attempt;
+  std::string request_id;
+  TimePoint idle_since;
+  Duration idle_limit{};
+};
+
+}  // namespace Internal
+
+using Internal::ServerConnection;
+
+namespace {
+
+/// A server answers an opening packet within a few milliseconds; a lost packet
+/// is sent again after a second, and another server is faster by then.
+constexpr Duration kConnectTimeout = Millis(300);
+/// Below the idle time after which servers close.
+constexpr Duration kIdleLimit = Seconds(6);
+/// Kept in hand below a time that a server states itself.
+constexpr Duration kIdleMargin = Seconds(1);
+constexpr std::size_t kMostIdle = 4;
+constexpr std::size_t kReadBytes = 16384;
+
+/// "timeout=5, max=100": the seconds after which the server closes.
+std::optional<Duration> StatedIdleTime(const http1::Headers& headers) {
+  constexpr std::string_view kName = "timeout=";
+  const std::string* value = http1::FindHeader(headers, "Keep-Alive");
+  if (value == nullptr) return std::nullopt;
+  const std::size_t at = value->find(kName);
+  if (at == std::string::npos) return std::nullopt;
+  int seconds = 0;
+  const char* begin = value->data() + at + kName.size();
+  const auto [end, ec] =
+      std::from_chars(begin, value->data() + value->size(), seconds);
+  if (ec != std::errc() || seconds < 0) return std::nullopt;
+  return Seconds(seconds);
+}
+
+Duration IdleLimitOf(const http1::Response& response) {
+  const auto stated = StatedIdleTime(response.headers);
+  if (!stated) return kIdleLimit;
+  return std::max(*stated - kIdleMargin, *stated / 2);
+}
+
+std::size_t Unsent(const ServerConnection& connection) {
+  return evbuffer_get_length(bufferevent_get_output(connection.bev));
+}
+
+}  // namespace
+
+ServerConnections::ServerConnections(net::EventLoop& loop,
+                                     const http1::Limits& limits,
+                                     Belongs belongs)
+    : loop_(loop), limits_(limits), belongs_(belongs) {}
+
+ServerConnections::~ServerConnections() = default;
+
+void ServerConnections::Send(ServerExchange exchange) {
+  ServerConnection* connection = TakeIdle(exchange.server);
+  if (connection == nullptr) connection = &Open(exchange);
+  connection->attempt = exchange.attempt;
+  connection->request_id = std::move(exchange.request_id);
+  connection->parser.ExpectHead(exchange.is_head);
+  connection_of_attempt_[exchange.attempt] = connection->id;
+  bufferevent_write(connection->bev, exchange.bytes.data(),
+                    exchange.bytes.size());
+}
+
+ServerConnection* ServerConnections::TakeIdle(BackendServerId server) {
+  const auto it = idle_.find(server);
+  if (it == idle_.end() || it->second.empty()) return nullptr;
+  const std::uint64_t id = it->second.back();
+  it->second.pop_back();
+  ServerConnection* connection = connections_.at(id).get();
+  const Duration age = net::MonotonicNow() - connection->idle_since;
+  if (age <= connection->idle_limit) return connection;
+  Close(id);
+  return nullptr;
+}
+
+ServerConnection& ServerConnections::Open(const ServerExchange& exchange) {
+  bufferevent* bev = bufferevent_socket_new(
+      loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  const std::uint64_t id = ++last_connection_;
+  auto owned = std::make_unique<ServerConnection>(this, id, bev, limits_);
+  ServerConnection& connection = *owned;
+  connection.server = exchange.server;
+  connection.opened_at = net::MonotonicNow();
+  connections_.emplace(id, std::move(owned));
+  bufferevent_setcb(bev, &ServerConnections::OnReadable, nullptr,
+                    &ServerConnections::OnEvent, &connection);
+  bufferevent_enable(bev, EV_READ | EV_WRITE);
+  const auto address = net::ToSocketAddress(exchange.endpoint);
+  // A failure here is told through OnEvent, or by the connect time-out.
+  if (address) {
+    bufferevent_socket_connect(bev, address->get(),
+                               static_cast<int>(address->size));
+  }
+  return connection;
+}
+
+void ServerConnections::OnReadable(bufferevent* /*bev*/, void* connection) {
+  auto& it = *static_cast<ServerConnection*>(connection);
+  it.connections->Read(it);
+}
+
+void ServerConnections::OnEvent(bufferevent* bev, short what,  // NOLINT
+                                void* connection) {
+  auto& it = *static_cast<ServerConnection*>(connection);
+  if ((what & BEV_EVENT_CONNECTED) != 0) {
+    it.is_connected = true;
+    const int on = 1;
+    setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &on,
+               sizeof(on));
+    return;
+  }
+  it.connections->HandleEnd(it, (what & BEV_EVENT_EOF) != 0);
+}
+
+void ServerConnections::Read(ServerConnection& connection) {
+  // Bytes without a request belong to no one: a late or second answer.
+  if (!connection.attempt) {
+    Close(connection.id);
+    return;
+  }
+  evbuffer* input = bufferevent_get_input(connection.bev);
+  std::vector<http1::Response> responses;
+  char buf[kReadBytes];
+  std::optional<http1::ParseFailure> failure;
+  while (!failure && evbuffer_get_length(input) > 0) {
+    const int n = evbuffer_remove(input, buf, sizeof(buf));
+    if (n <= 0) break;
+    failure = connection.parser.Feed(
+        std::string_view(buf, static_cast<std::size_t>(n)), responses);
+  }
+  const std::uint64_t id = connection.id;
+  if (!responses.empty()) TakeAnswer(connection, responses);
+  if (!failure || !connections_.contains(id)) return;
+  if (connection.attempt) {
+    Fail(connection, AttemptFailure::kTruncated);
+  } else {
+    Close(id);
+  }
+}
+
+void ServerConnections::TakeAnswer(ServerConnection& connection,
+                                   std::vector<http1::Response>& responses) {
+  const auto it = std::ranges::find_if(responses, [&](const auto& response) {
+    return belongs_(response, connection.request_id);
+  });
+  if (it == responses.end()) return;
+  http1::Response response = std::move(*it);
+  const AttemptId attempt = *std::exchange(connection.attempt, std::nullopt);
+  connection_of_attempt_.erase(attempt);
+  auto& idle = idle_[connection.server];
+  // After an early answer the rest of the request is still due.
+  const bool is_clean = responses.size() == 1 && response.keep_alive &&
+                        !connection.parser.in_message() &&
+                        Unsent(connection) == 0;
+  if (is_clean && idle.size() < kMostIdle) {
+    connection.idle_since = net::MonotonicNow();
+    connection.idle_limit = IdleLimitOf(response);
+    idle.push_back(connection.id);
+  } else {
+    Close(connection.id);
+  }
+  answer_.emit(attempt, response);
+}
+
+void ServerConnections::HandleEnd(ServerConnection& connection, bool in_order) {
+  if (!connection.attempt) {
+    Close(connection.id);
+    return;
+  }
+  const std::uint64_t id = connection.id;
+  if (in_order && connection.parser.in_message()) {
+    std::vector<http1::Response> responses;
+    connection.parser.FeedEnd(responses);
+    if (!responses.empty()) TakeAnswer(connection, responses);
+    if (!connections_.contains(id)) return;
+  }
+  AttemptFailure failure = AttemptFailure::kConnectionLost;
+  if (!connection.is_connected) {
+    failure = AttemptFailure::kConnectFailed;
+  } else if (connection.parser.in_message()) {
+    failure = AttemptFailure::kTruncated;
+  }
+  Fail(connection, failure);
+}
+
+void ServerConnections::Fail(ServerConnection& connection,
+                             AttemptFailure failure) {
+  const auto attempt = std::exchange(connection.attempt, std::nullopt);
+  Close(connection.id);
+  if (!attempt) return;
+  connection_of_attempt_.erase(*attempt);
+  failure_.emit(*attempt, failure);
+}
+
+void ServerConnections::Cancel(AttemptId attempt) {
+  const auto it = connection_of_attempt_.find(attempt);
+  if (it == connection_of_attempt_.end()) return;
+  const std::uint64_t id = it->second;
+  connection_of_attempt_.erase(it);
+  Close(id);
+}
+
+void ServerConnections::Close(std::uint64_t id) {
+  const auto it = connections_.find(id);
+  if (it == connections_.end()) return;
+  if (const auto idle = idle_.find(it->second->server); idle != idle_.end()) {
+    std::erase(idle->second, id);
+    if (idle->second.empty()) idle_.erase(idle);
+  }
+  connections_.erase(it);
+}
+
+void ServerConnections::Sweep(TimePoint now) {
+  std::vector<std::uint64_t> unopened;
+  std::vector<std::uint64_t> stale;
+  for (const auto& [id, it] : connections_) {
+    if (!it->is_connected && now - it->opened_at > kConnectTimeout) {
+      unopened.push_back(id);
+    } else if (!it->attempt && now - it->idle_since > it->idle_limit) {
+      stale.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : stale) Close(id);
+  for (const std::uint64_t id : unopened) {
+    const auto it = connections_.find(id);
+    if (it != connections_.end()) {
+      Fail(*it->second, AttemptFailure::kConnectFailed);
+    }
+  }
+}
+
+}  // namespace ibisladder::gateway
--- /dev/null
+++ b/src/plugins/gateway/server_connections.h
@@ -0,0 +1,95 @@
+#ifndef PLUGINS_GATEWAY_SERVER_CONNECTIONS_H_
+#define PLUGINS_GATEWAY_SERVER_CONNECTIONS_H_
+
+#include <event2/bufferevent.h>
+#include <sigc++/sigc++.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "libs/base/strong_types.h"
+#include "libs/gateway/messages.h"
+#include "libs/http1/message.h"
+#include "libs/net/event_loop.h"
+
+/// Kept connections to backend servers, one request at a time on each.
+namespace ibisladder::gateway {
+
+/// A request as bytes for one server.
+struct ServerExchange {
+  AttemptId attempt;
+  BackendServerId server;
+  Endpoint endpoint;
+  std::string bytes;
+  bool is_head = false;
+  /// Of the request; an answer to another one is dropped.
+  std::string request_id;
+};
+
+namespace Internal {
+struct ServerConnection;
+}
+
+class ServerConnections {
+ public:
+  /// Whether an answer belongs to the request with that id.
+  using Belongs = bool (*)(const http1::Response&, const std::string&);
+
+  ServerConnections(net::EventLoop& loop, const http1::Limits& limits,
+                    Belongs belongs);
+  ~ServerConnections();
+  ServerConnections(const ServerConnections&) = delete;
+  ServerConnections& operator=(const ServerConnections&) = delete;
+
+  /// Ends with exactly one of the two signals, unless cancelled before. Never
+  /// emits from within Send.
+  void Send(ServerExchange exchange);
+  /// Closes the attempt's connection; no signal follows.
+  void Cancel(AttemptId attempt);
+  /// Closes connections idle for too long; call it about twice a second.
+  void Sweep(TimePoint now);
+
+  sigc::signal<void(AttemptId, http1::Response&)>& signal_answer() {
+    return answer_;
+  }
+  sigc::signal<void(AttemptId, AttemptFailure)>& signal_failure() {
+    return failure_;
+  }
+
+  std::size_t open_connections() const { return connections_.size(); }
+  /// Connections opened since the start.
+  std::uint64_t opened() const { return last_connection_; }
+
+ private:
+  static void OnReadable(bufferevent* bev, void* connection);
+  static void OnEvent(bufferevent* bev, short what,
+                      void* connection);  // NOLINT
+
+  Internal::ServerConnection* TakeIdle(BackendServerId server);
+  Internal::ServerConnection& Open(const ServerExchange& exchange);
+  void Read(Internal::ServerConnection& connection);
+  void TakeAnswer(Internal::ServerConnection& connection,
+                  std::vector<http1::Response>& responses);
+  void HandleEnd(Internal::ServerConnection& connection, bool in_order);
+  void Fail(Internal::ServerConnection& connection, AttemptFailure failure);
+  void Close(std::uint64_t id);
+
+  net::EventLoop& loop_;
+  http1::Limits limits_;
+  Belongs belongs_;
+  std::uint64_t last_connection_ = 0;
+  std::unordered_map<std::uint64_t, std::unique_ptr<Internal::ServerConnection>>
+      connections_;
+  std::unordered_map<AttemptId, std::uint64_t> connection_of_attempt_;
+  /// Most recently used last.
+  std::unordered_map<BackendServerId, std::vector<std::uint64_t>> idle_;
+  sigc::signal<void(AttemptId, http1::Response&)> answer_;
+  sigc::signal<void(AttemptId, AttemptFailure)> failure_;
+};
+
+}  // namespace ibisladder::gateway
+
+#endif  // PLUGINS_GATEWAY_SERVER_CONNECTIONS_H_
