Judge fast failures by themselves and tell them at once

Change: evidence of its own for failures far faster than work, told to all instances at once; a last resort returns after an interval; trials with any work; weak words are not told; only answered failures count in full. Ruled out: peers' words in full for all evidence: one instance with a lost link put all servers of a service out.

--- a/src/libs/detection/detector.cc
+++ b/src/libs/detection/detector.cc
@@ -53,7 +53,8 @@
 
 bool IsQuiet(const Server& server, const Score& score) {
   return server.state == ServerState::kHealthy && server.in_flight.empty() &&
-         server.words.empty() && score.failures == 0 && score.slowness == 0;
+         server.words.empty() && score.failures == 0 && score.slowness == 0 &&
+         score.fast_failures == 0;
 }
 
 void RebuildIndexes(Detector& detector) {
@@ -105,8 +106,9 @@
   }
   if (end == AttemptEnd::kShed) return;
   // What went wrong while the whole service was silent is nobody's own fault.
-  const bool is_shared =
-      end != AttemptEnd::kOk && now - latency <= detector.recent.silent_at;
+  const bool is_shared = end != AttemptEnd::kOk &&
+                         increment.fast_failures <= 0 &&
+                         now - latency <= detector.recent.silent_at;
   if (is_shared) return;
   Internal::Add(server.own, increment, LeastSum(detector, server));
   NotePass(server, end, increment);
@@ -161,14 +163,17 @@
   return detector.threshold + kMiddleWeight * detector.middle;
 }
 
-Digest MakeDigest(ServiceId service, const Server& server, float score) {
+Digest MakeDigest(ServiceId service, const Server& server,
+                  const Score& scored) {
   constexpr float kMost = 32767;
+  const float score = scored.own;
   const std::size_t samples = server.own.samples + server.in_flight.size();
   constexpr std::size_t kMostSamples = 255;
   return {service, server.member.id,
           static_cast<std::int16_t>(
               std::clamp(std::round(score * kDigestUnits), -kMost, kMost)),
-          static_cast<std::uint8_t>(std::min(samples, kMostSamples))};
+          static_cast<std::uint8_t>(std::min(samples, kMostSamples)),
+          scored.fast_failures >= scored.own};
 }
 
 }  // namespace
@@ -191,6 +196,12 @@
   Internal::UpdateThreshold(detector, detector.rate_from);
 }
 
+void SetPace(Detector& detector, const Pace& pace) {
+  detector.pace = pace;
+  detector.norm.expected_latency = pace.expected_latency;
+  Internal::UpdateThreshold(detector, detector.rate_from);
+}
+
 void SetMembers(Detector& detector, std::span<const Member> members,
                 TimePoint now) {
   std::vector<Server> servers;
@@ -256,7 +267,8 @@
     Activate(detector, *it);
   }
   // A good probe clears nobody where real work can tell more.
-  if (is_probation && !detector.has_idempotent_work) {
+  if (is_probation && !detector.has_idempotent_work &&
+      !detector.pace.tries_any_work) {
     it->passes = ok ? it->passes + 1 : 0;
   }
 }
@@ -270,7 +282,7 @@
     const float score =
         std::min(static_cast<float>(it.score) / kDigestUnits,
                  kMostPerSample * static_cast<float>(it.samples));
-    Internal::SetWord(server->words, {peer, score, now});
+    Internal::SetWord(server->words, {peer, score, now, it.is_answered});
     Activate(detector, *server);
   }
 }
@@ -302,7 +314,7 @@
 std::vector<BackendServerId> ProbesDue(const Detector& detector,
                                        TimePoint now) {
   std::vector<BackendServerId> due;
-  if (detector.has_idempotent_work) return due;
+  if (detector.has_idempotent_work || detector.pace.tries_any_work) return due;
   for (const auto index : detector.active) {
     const Server& it = detector.servers[index];
     if (it.state != ServerState::kProbation || it.member.leaving) continue;
@@ -317,8 +329,8 @@
   for (const auto index : detector.active) {
     const Server& it = detector.servers[index];
     if (it.member.leaving) continue;
-    const float score = ScoreOf(detector, it, now).own;
-    if (std::abs(score) < kLeastDigest) continue;
+    const Score score = ScoreOf(detector, it, now);
+    if (std::abs(score.own) < kLeastDigest) continue;
     digests.push_back(MakeDigest(service, it, score));
   }
   std::sort(digests.begin(), digests.end(), [](const auto& a, const auto& b) {
@@ -328,12 +340,23 @@
   return digests;
 }
 
+std::optional<Digest> OwnDigest(const Detector& detector, ServiceId service,
+                                BackendServerId server, TimePoint now) {
+  const Server* it = FindServer(detector, server);
+  if (it == nullptr) return std::nullopt;
+  const Score score = ScoreOf(detector, *it, now);
+  if (std::abs(score.own) < kLeastDigest) return std::nullopt;
+  return MakeDigest(service, *it, score);
+}
+
 std::vector<ServerReport> Report(const Detector& detector) {
   std::vector<ServerReport> reports;
   reports.reserve(detector.servers.size());
   for (const auto& it : detector.servers) {
-    const float own = std::max(it.own.failures, it.own.slowness);
-    const float peers = SumOfWords(it.words, detector.threshold);
+    const float own =
+        std::max({it.own.failures, it.own.slowness, it.own.fast_failures});
+    const float peers = SumOfWords(it.words, detector.threshold,
+                                   detector.pace.answered_word_share);
     reports.push_back({it.member.id, it.state, double{own + peers},
                        Internal::DescribeCause(it.cause), it.since});
   }
--- a/src/libs/detection/detector.h
+++ b/src/libs/detection/detector.h
@@ -55,10 +55,13 @@
   std::int16_t score = 0;
   /// Attempts that the score rests on, clamped.
   std::uint8_t samples = 0;
+  /// The score rests on failures that the server itself answered: no fault of
+  /// the sender's link.
+  bool is_answered = false;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(service, server, score, samples);
+    archive(service, server, score, samples, is_answered);
   }
 };
 
@@ -79,6 +82,33 @@
   TimePoint since;
 };
 
+/// How fast a detector acts. The defaults suit services whose servers stay
+/// sick for minutes.
+struct Pace {
+  /// Time out of service after an ejection; doubles with each relapse.
+  Duration first_interval = Seconds(10);
+  Duration longest_interval = Seconds(640);
+  /// Part by which intervals differ at random, either way.
+  double interval_jitter = 0.2;
+  /// Good answers in a row on probation that restore a server.
+  std::uint8_t passes_to_restore = 3;
+  /// Least sum of evidence that ejects, nats.
+  double least_threshold = 7;
+  /// Share of the threshold that the word of one peer may reach when it rests
+  /// on failures that the server answered; other words reach a third.
+  float answered_word_share = 1.0F / 3;
+  /// Whether peers' words send a server back from probation, and keep it out.
+  bool peers_judge_probation = false;
+  /// Whether any work may be tried on probation, not only idempotent.
+  bool tries_any_work = false;
+  /// Whether peers' words count in what all servers are taken to share.
+  bool middle_counts_peers = true;
+  /// Whether servers that warm up count as capacity that serves.
+  bool warming_serves = false;
+  /// Usual latency of a service until it is known; zero: none is assumed.
+  Duration expected_latency{};
+};
+
 /// Detection state of one service; made by MakeDetector.
 struct Detector;
 struct DetectorDeleter {
@@ -96,6 +126,7 @@
 /// Installs changed settings of the service, keeping all evidence.
 void UpdateSettings(Detector& detector, const declarations::Service& service,
                     bool has_idempotent_work);
+void SetPace(Detector& detector, const Pace& pace);
 /// Replaces the member list; known servers keep their state.
 void SetMembers(Detector& detector, std::span<const Member> members,
                 TimePoint now);
@@ -109,6 +140,9 @@
 /// A peer's latest word, which replaces its previous one. Capped trust.
 void MergePeerDigests(Detector& detector, InstanceId peer,
                       std::span<const Digest> digests, TimePoint now);
+/// The digest of one server, whatever its state; none without evidence.
+std::optional<Digest> OwnDigest(const Detector& detector, ServiceId service,
+                                BackendServerId server, TimePoint now);
 /// Judges all servers; call after each ended attempt and at each tick
 /// (at least every 100 ms).
 std::vector<StateChange> Evaluate(Detector& detector, TimePoint now,
--- a/src/libs/detection/detector_state.h
+++ b/src/libs/detection/detector_state.h
@@ -57,6 +57,8 @@
   TimePoint next;
   /// When it was last ejected or restored; relapses fade from there.
   TimePoint relapse_from;
+  /// When a peer's word last prolonged the ejection.
+  TimePoint prolonged_at;
   std::vector<InFlight> in_flight;
   std::vector<PeerWord> words;
 };
@@ -65,6 +67,7 @@
 struct Score {
   float failures = 0;
   float slowness = 0;
+  float fast_failures = 0;
   float in_flight = 0;
   /// This instance's own part, before any cap.
   float own = 0;
@@ -79,6 +82,7 @@
 struct Detector {
   declarations::Service service;
   bool has_idempotent_work = false;
+  Pace pace;
   std::vector<Internal::Server> servers;
   std::unordered_map<BackendServerId, std::uint32_t> indexes;
   /// Indexes of servers with evidence, work in flight or a state to watch.
--- a/src/libs/detection/ejection.cc
+++ b/src/libs/detection/ejection.cc
@@ -6,14 +6,10 @@
 namespace ibisladder::detection::Internal {
 namespace {
 
-constexpr Duration kFirstInterval = Seconds(10);
-constexpr Duration kLongestInterval = Seconds(640);
 constexpr std::uint8_t kMostRelapses = 6;
 /// Healthy time that takes back one relapse.
 constexpr Duration kRelapseFade = Seconds(600);
-constexpr double kIntervalJitter = 0.2;
 
-constexpr std::uint8_t kPassesToRestore = 3;
 /// Probation without any work to judge by ends after this.
 constexpr Duration kProbationPatience = Seconds(30);
 /// A score of this size on probation ejects again.
@@ -37,7 +33,9 @@
   for (const auto& it : detector.servers) {
     if (it.member.leaving) continue;
     capacity.live += it.member.slots;
-    if (IsOut(it) || now < it.warm_until) continue;
+    const bool is_warming =
+        !detector.pace.warming_serves && now < it.warm_until;
+    if (IsOut(it) || is_warming) continue;
     capacity.serving += it.member.slots;
   }
   return capacity;
@@ -59,16 +57,19 @@
 }
 
 Cause StrongestOf(const Score& score) {
-  const float own = std::max({score.failures, score.slowness, score.in_flight});
+  const float own = std::max(
+      {score.failures, score.slowness, score.in_flight, score.fast_failures});
   if (score.peers > score.own) return Cause::kPeers;
-  if (score.failures == own) return Cause::kFailures;
+  if (score.failures == own || score.fast_failures == own) {
+    return Cause::kFailures;
+  }
   return score.slowness == own ? Cause::kSlowness : Cause::kInFlight;
 }
 
-Duration IntervalOf(const Server& server, Random& random) {
-  const auto interval =
-      std::min(kFirstInterval * (1 << server.relapses), kLongestInterval);
-  const double jitter = kIntervalJitter * (2 * UniformUnit(random) - 1);
+Duration IntervalOf(const Pace& pace, const Server& server, Random& random) {
+  const auto interval = std::min(pace.first_interval * (1 << server.relapses),
+                                 pace.longest_interval);
+  const double jitter = pace.interval_jitter * (2 * UniformUnit(random) - 1);
   return Duration(static_cast<std::int64_t>(
       static_cast<double>(interval.count()) * (1 + jitter)));
 }
@@ -80,10 +81,11 @@
   }
 }
 
-void Eject(Server& server, Cause cause, float score, TimePoint now,
-           Random& random, std::vector<StateChange>& changes) {
+void Eject(const Pace& pace, Server& server, Cause cause, float score,
+           TimePoint now, Random& random, std::vector<StateChange>& changes) {
   Change(server, ServerState::kEjected, cause, score, now, changes);
-  server.next = now + IntervalOf(server, random);
+  server.next = now + IntervalOf(pace, server, random);
+  server.prolonged_at = now;
   server.relapses = std::min<std::uint8_t>(server.relapses + 1, kMostRelapses);
   server.relapse_from = now;
 }
@@ -96,16 +98,49 @@
   server.relapse_from = now;
 }
 
+/// A peer that has just met the server's sickness saves this instance from
+/// meeting it.
+void Prolong(const Detector& detector, Server& server, TimePoint now,
+             Random& random) {
+  if (!detector.pace.peers_judge_probation) return;
+  for (const PeerWord& it : server.words) {
+    if (it.score < kProbationFailure || it.heard <= server.prolonged_at) {
+      continue;
+    }
+    server.prolonged_at = now;
+    server.next =
+        std::max(server.next, now + IntervalOf(detector.pace, server, random));
+  }
+}
+
+/// Whether a last resort is due to be used as before. Its evidence does not
+/// fade while it gets no work.
+bool IsDueBack(const Detector& detector, const Server& server, TimePoint now) {
+  return detector.pace.tries_any_work &&
+         server.state == ServerState::kLastResort && now >= server.next;
+}
+
 void JudgeServing(Detector& detector, Server& server, const Score& score,
                   float threshold, TimePoint now, Random& random,
                   std::vector<StateChange>& changes) {
+  if (server.state == ServerState::kLastResort) {
+    Prolong(detector, server, now, random);
+    if (IsDueBack(detector, server, now)) {
+      server.words.clear();
+      Restore(detector, server, Cause::kIntervalOver, now, changes);
+      return;
+    }
+  }
   if (score.total >= threshold) {
     if (FloorAllows(detector, server, now)) {
       FadeRelapses(server, now);
-      Eject(server, StrongestOf(score), score.total, now, random, changes);
+      Eject(detector.pace, server, StrongestOf(score), score.total, now, random,
+            changes);
     } else if (server.state == ServerState::kHealthy) {
       Change(server, ServerState::kLastResort, StrongestOf(score), score.total,
              now, changes);
+      server.next = now + IntervalOf(detector.pace, server, random);
+      server.prolonged_at = now;
     }
     return;
   }
@@ -129,13 +164,17 @@
 void JudgeProbation(const Detector& detector, Server& server,
                     const Score& score, TimePoint now, Random& random,
                     std::vector<StateChange>& changes) {
-  if (score.own >= kProbationFailure) {
-    Eject(server, Cause::kProbationFailed, score.own, now, random, changes);
+  const bool peers_object =
+      detector.pace.peers_judge_probation && score.peers >= kProbationFailure;
+  if (score.own >= kProbationFailure || peers_object) {
+    Eject(detector.pace, server,
+          peers_object ? Cause::kPeers : Cause::kProbationFailed, score.own,
+          now, random, changes);
     return;
   }
   const bool patience_over =
       detector.has_idempotent_work && now - server.since >= kProbationPatience;
-  if (server.passes >= kPassesToRestore || patience_over) {
+  if (server.passes >= detector.pace.passes_to_restore || patience_over) {
     Restore(detector, server, Cause::kProbationPassed, now, changes);
   }
 }
@@ -145,7 +184,9 @@
 bool FloorAllows(const Detector& detector, const Server& server,
                  TimePoint now) {
   Capacity capacity = CapacityOf(detector, now);
-  if (!IsOut(server) && now >= server.warm_until) {
+  const bool is_warming =
+      !detector.pace.warming_serves && now < server.warm_until;
+  if (!IsOut(server) && !is_warming) {
     capacity.serving -= server.member.slots;
   }
   return HoldsFloor(detector, capacity);
@@ -163,6 +204,7 @@
     Change(*least, ServerState::kLastResort, Cause::kFloor, least->score_then,
            now, changes);
     least->warm_until = now;
+    least->next = std::max(least->next, now + detector.pace.first_interval);
   }
 }
 
@@ -176,6 +218,7 @@
       JudgeServing(detector, server, score, threshold, now, random, changes);
       break;
     case ServerState::kEjected:
+      Prolong(detector, server, now, random);
       if (now >= server.next) StartProbation(server, now, changes);
       break;
     case ServerState::kProbation:
--- a/src/libs/detection/evidence.cc
+++ b/src/libs/detection/evidence.cc
@@ -18,7 +18,10 @@
 
 constexpr double kLeastErrorRate = 0.003;
 constexpr double kLeastCorruptRate = 0.00005;
+constexpr double kLeastFastFailureRate = 0.0005;
 constexpr double kMostErrorRate = 0.9;
+/// A failure is fast below this part of the usual latency.
+constexpr float kFastShare = 0.125F;
 /// The norm moves by a part of its own size, so that one failure hides little
 /// of the next one.
 constexpr double kLearningShare = 1.0 / 4;
@@ -29,7 +32,6 @@
 constexpr double kSecondsPerDay = 86400;
 constexpr double kLeastTolerated = 1e-6;
 constexpr double kLeastRate = 0.001;
-constexpr double kLeastThreshold = 7;
 constexpr double kMostThreshold = 40;
 
 bool IsError(AttemptEnd end) {
@@ -37,6 +39,13 @@
          end == AttemptEnd::kConnectFailed;
 }
 
+bool IsFast(const ServiceNorm& norm, Duration latency) {
+  const float usual = IsKnown(norm.latency)
+                          ? norm.latency.median_us
+                          : static_cast<float>(norm.expected_latency.count());
+  return static_cast<float>(latency.count()) < usual * kFastShare;
+}
+
 float FailureRatio(double normal_rate) {
   const double sick_rate = normal_rate + kSickFailureShare * (1 - normal_rate);
   return static_cast<float>(std::log(sick_rate / normal_rate));
@@ -71,14 +80,19 @@
 Increment JudgeEnd(const ServiceNorm& norm, AttemptEnd end, Duration latency,
                    double shared_failure_share) {
   const double shared = std::min(shared_failure_share, kMostErrorRate);
-  if (IsError(end)) return {FailureRatio(std::max(norm.error_rate, shared)), 0};
+  if (IsError(end)) {
+    const bool is_fast = end == AttemptEnd::kError && IsFast(norm, latency);
+    if (is_fast) return {0, 0, FailureRatio(norm.fast_failure_rate)};
+    return {FailureRatio(std::max(norm.error_rate, shared)), 0};
+  }
   if (end == AttemptEnd::kCorrupt) {
     return {FailureRatio(std::max(norm.corrupt_rate, shared)), 0};
   }
   if (end == AttemptEnd::kOk) {
     if (!IsKnown(norm.latency)) return {SuccessRatio(), 0};
     return {SuccessRatio(),
-            SlownessRatio(TailProbability(norm.latency, latency))};
+            SlownessRatio(TailProbability(norm.latency, latency)),
+            SuccessRatio()};
   }
   if (end == AttemptEnd::kTimeout && !IsKnown(norm.latency)) {
     return {FailureRatio(norm.error_rate), 0};
@@ -98,8 +112,12 @@
 void Add(Evidence& evidence, const Increment& increment, float least) {
   evidence.failures = std::max(least, evidence.failures + increment.failures);
   evidence.slowness = std::max(least, evidence.slowness + increment.slowness);
+  evidence.fast_failures =
+      std::max(0.0F, evidence.fast_failures + increment.fast_failures);
   constexpr std::uint8_t kMostSamples = 255;
-  if (evidence.failures == 0 && evidence.slowness == 0) {
+  const bool is_none = evidence.failures == 0 && evidence.slowness == 0 &&
+                       evidence.fast_failures == 0;
+  if (is_none) {
     evidence.samples = 0;
   } else if (evidence.samples < kMostSamples) {
     ++evidence.samples;
@@ -109,11 +127,14 @@
 void Fade(Evidence& evidence, TimePoint now, Duration time_constant) {
   const Duration passed = now - evidence.updated;
   evidence.updated = now;
-  if (evidence.failures == 0 && evidence.slowness == 0) return;
+  const bool is_none = evidence.failures == 0 && evidence.slowness == 0 &&
+                       evidence.fast_failures == 0;
+  if (is_none) return;
   const auto factor = static_cast<float>(
       std::exp(-ToSeconds(passed) / ToSeconds(time_constant)));
   evidence.failures = FadeOf(evidence.failures, factor);
   evidence.slowness = FadeOf(evidence.slowness, factor);
+  evidence.fast_failures = FadeOf(evidence.fast_failures, factor);
 }
 
 void LearnEnd(ServiceNorm& norm, AttemptEnd end, Duration latency,
@@ -121,6 +142,8 @@
   if (end == AttemptEnd::kOk) Learn(norm.latency, latency, weight);
   if (end == AttemptEnd::kOk || IsError(end)) {
     LearnRate(norm.error_rate, end != AttemptEnd::kOk, kLeastErrorRate, weight);
+    const bool is_fast = end == AttemptEnd::kError && IsFast(norm, latency);
+    LearnRate(norm.fast_failure_rate, is_fast, kLeastFastFailureRate, weight);
   }
   if (end == AttemptEnd::kOk || end == AttemptEnd::kCorrupt) {
     LearnRate(norm.corrupt_rate, end != AttemptEnd::kOk, kLeastCorruptRate,
@@ -129,13 +152,12 @@
 }
 
 float ThresholdFor(double false_ejections_per_server_day,
-                   double fleet_observations_per_second) {
+                   double fleet_observations_per_second, double least) {
   const double tolerated =
       std::max(false_ejections_per_server_day, kLeastTolerated);
   const double rate = std::max(fleet_observations_per_second, kLeastRate);
   const double threshold = std::log(kTests * kSecondsPerDay * rate / tolerated);
-  return static_cast<float>(
-      std::clamp(threshold, kLeastThreshold, kMostThreshold));
+  return static_cast<float>(std::clamp(threshold, least, kMostThreshold));
 }
 
 }  // namespace ibisladder::detection::Internal
--- a/src/libs/detection/evidence.h
+++ b/src/libs/detection/evidence.h
@@ -16,6 +16,10 @@
   LatencyNorm latency;
   double error_rate = 0.003;
   double corrupt_rate = 0.00005;
+  /// Share of requests that fail much faster than work takes.
+  double fast_failure_rate = 0.0005;
+  /// Stands for the median while the latency is not known; zero: none.
+  Duration expected_latency{};
 };
 
 /// Running sums for one server, from this instance's own work. Failures and
@@ -23,6 +27,9 @@
 struct Evidence {
   float failures = 0;
   float slowness = 0;
+  /// Failure answers that came much faster than work takes: nothing was tried.
+  /// They attract load, and prove that the path to the server works.
+  float fast_failures = 0;
   TimePoint updated;
   /// Attempts since the sums last left zero.
   std::uint8_t samples = 0;
@@ -32,6 +39,7 @@
 struct Increment {
   float failures = 0;
   float slowness = 0;
+  float fast_failures = 0;
 };
 
 /// The increment of an ended attempt; zero for a definite shed.
@@ -57,7 +65,7 @@
 /// zero passes `h` by chance once in exp(h) observations or less often, so
 /// h = ln(tests * seconds a day * observations a second / tolerated a day).
 float ThresholdFor(double false_ejections_per_server_day,
-                   double fleet_observations_per_second);
+                   double fleet_observations_per_second, double least);
 
 }  // namespace ibisladder::detection::Internal
 
--- a/src/libs/detection/peer_words.cc
+++ b/src/libs/detection/peer_words.cc
@@ -28,10 +28,13 @@
   }
 }
 
-float SumOfWords(const std::vector<PeerWord>& words, float threshold) {
-  const float most = threshold * kOnePeerShare;
+float SumOfWords(const std::vector<PeerWord>& words, float threshold,
+                 float answered_share) {
   float sum = 0;
-  for (const auto& it : words) sum += std::clamp(it.score, kLeastWord, most);
+  for (const auto& it : words) {
+    const float share = it.is_answered ? answered_share : kOnePeerShare;
+    sum += std::clamp(it.score, kLeastWord, threshold * share);
+  }
   return std::clamp(sum, -threshold * kAllPeersAgainstShare,
                     threshold * kAllPeersShare);
 }
--- a/src/libs/detection/peer_words.h
+++ b/src/libs/detection/peer_words.h
@@ -14,6 +14,7 @@
   InstanceId peer;
   float score = 0;
   TimePoint heard;
+  bool is_answered = false;
 };
 
 /// Shares of the threshold that bound what others may contribute.
@@ -27,8 +28,10 @@
 /// Drops words that are too old to count.
 void ExpireWords(std::vector<PeerWord>& words, TimePoint now);
 
-/// The sum of all words: one peer adds at most kOnePeerShare of the threshold.
-float SumOfWords(const std::vector<PeerWord>& words, float threshold);
+/// The sum of all words: one peer adds at most kOnePeerShare of the threshold,
+/// or `answered_share` for words on answered failures.
+float SumOfWords(const std::vector<PeerWord>& words, float threshold,
+                 float answered_share);
 
 /// Whether some peer reports sickness.
 bool AnySuspicion(const std::vector<PeerWord>& words);
--- a/src/libs/detection/scoring.cc
+++ b/src/libs/detection/scoring.cc
@@ -76,14 +76,21 @@
   Score score;
   score.failures = server.own.failures;
   score.slowness = server.own.slowness;
+  score.fast_failures = server.own.fast_failures;
   score.in_flight = InFlightEvidence(detector, server, now);
-  score.own = std::max(score.failures, score.slowness + score.in_flight);
-  score.peers = SumOfWords(server.words, detector.threshold);
-  score.raw = score.own + score.peers;
+  const float untested =
+      std::max(score.failures, score.slowness + score.in_flight);
+  score.own = std::max(untested, score.fast_failures);
+  score.peers = SumOfWords(server.words, detector.threshold,
+                           detector.pace.answered_word_share);
+  score.raw = untested + (detector.pace.middle_counts_peers ? score.peers : 0);
+  // Answers prove the path: only what may be its fault is bounded.
   score.total =
       score.peers +
-      std::clamp(score.own, detector.threshold * kLeastOwnShare,
-                 detector.threshold * MostOwnShare(detector, server, now));
+      std::max(
+          score.fast_failures,
+          std::clamp(untested, detector.threshold * kLeastOwnShare,
+                     detector.threshold * MostOwnShare(detector, server, now)));
   return score;
 }
 
@@ -99,14 +106,15 @@
 
 bool IsOdd(const Detector& detector, const Server& server) {
   constexpr float kMiddles = 2;
-  const float own = std::max(server.own.failures, server.own.slowness);
+  const float own = std::max(
+      {server.own.failures, server.own.slowness, server.own.fast_failures});
   return own >= kOddScore + kMiddles * detector.middle;
 }
 
 float LeastSum(const Detector& detector, const Server& server) {
-  const bool is_suspected = server.own.failures > 0 ||
-                            server.own.slowness > 0 ||
-                            AnySuspicion(server.words);
+  const bool is_suspected =
+      server.own.failures > 0 || server.own.slowness > 0 ||
+      server.own.fast_failures > 0 || AnySuspicion(server.words);
   return is_suspected ? detector.threshold * kLeastOwnShare : 0;
 }
 
@@ -161,7 +169,8 @@
   const double rate =
       detector.rate > 0 ? detector.rate * fleet / servers : kFirstRate;
   detector.threshold =
-      ThresholdFor(detector.service.false_ejections_per_server_day, rate);
+      ThresholdFor(detector.service.false_ejections_per_server_day, rate,
+                   detector.pace.least_threshold);
 }
 
 }  // namespace ibisladder::detection::Internal
--- a/src/libs/gateway/answers.cc
+++ b/src/libs/gateway/answers.cc
@@ -127,8 +127,10 @@
   EndAttempt(context, id, end);
   const bool is_bad = end != AttemptEnd::kOk && end != AttemptEnd::kShed &&
                       end != AttemptEnd::kAbandoned;
+  if (is_bad) {
+    ShareEvidenceOf(context, attempt.service, service, attempt.server);
+  }
   Evaluate(context, service);
-  if (is_bad) ShareOwnEvidence(context, attempt.service, service, true);
   return forwarder.calls.contains(call);
 }
 
--- a/src/libs/gateway/forwarder.cc
+++ b/src/libs/gateway/forwarder.cc
@@ -28,7 +28,7 @@
   context.forwarder.evaluated_at = context.now;
   for (auto& [id, service] : context.forwarder.services) {
     Internal::Evaluate(context, service);
-    Internal::ShareOwnEvidence(context, id, service, false);
+    Internal::ShareDueEvidence(context, id, service);
     Internal::SendDueProbes(context, service);
   }
 }
--- a/src/libs/gateway/forwarder.h
+++ b/src/libs/gateway/forwarder.h
@@ -18,7 +18,7 @@
   /// Least share of a service's servers that stays in service, percent.
   std::uint8_t floor_percent = 70;
   /// Tolerated false ejections per healthy server-day.
-  double false_ejections_per_server_day = 100;
+  double false_ejections_per_server_day = 2000;
   /// Requests of one service that wait for a server here, at the most.
   std::uint16_t queue_limit = 64;
   /// Second attempts over the fleet, percent of first ones, and how many more
--- a/src/libs/gateway/forwarder_state.h
+++ b/src/libs/gateway/forwarder_state.h
@@ -99,10 +99,11 @@
 void RefreshRouter(Context& context, ServiceState& service);
 /// Judges the service's servers, and acts on the changes.
 void Evaluate(Context& context, ServiceState& service);
-/// Tells all instances the evidence of this one; `at_once` or about each
-/// second.
-void ShareOwnEvidence(Context& context, ServiceId id, ServiceState& service,
-                      bool at_once);
+/// Tells all instances, about each second, what speaks against servers.
+void ShareDueEvidence(Context& context, ServiceId id, ServiceState& service);
+/// Tells all instances at once what speaks against one server.
+void ShareEvidenceOf(Context& context, ServiceId id, ServiceState& service,
+                     BackendServerId server);
 void SendDueProbes(Context& context, ServiceState& service);
 void MarkReplaced(Context& context, ServiceState& service,
                   BackendServerId server);
--- a/src/libs/gateway/requests.cc
+++ b/src/libs/gateway/requests.cc
@@ -254,7 +254,7 @@
       {{"request", call.request->request_id},
        {"route", call.route.name},
        {"status", std::to_string(answer.status)},
-       {"code", std::to_string(static_cast<int>(answer.code))},
+       {"result", std::to_string(static_cast<int>(answer.code))},
        {"attempts", std::to_string(call.attempts)},
        {"last_failure", call.last_failure},
        {"took_ms", Text(context.now - call.arrived_at)}});
--- a/src/libs/gateway/services.cc
+++ b/src/libs/gateway/services.cc
@@ -13,8 +13,37 @@
 constexpr Duration kShareInterval = Seconds(1);
 /// Digests of one service that are told at a time.
 constexpr std::size_t kMostDigests = 16;
-/// In 1/16 nat: less is not worth telling.
-constexpr std::int16_t kLeastTold = 16;
+/// In 1/16 nat. Sums wander this far by chance, and many instances that all
+/// tell only what speaks against a server would add their chances up.
+constexpr std::int16_t kLeastTold = 64;
+
+/// Part of the target latency that answers usually need.
+constexpr int kTargetDivisor = 3;
+
+/// Servers here are sick for seconds: they are left at once, and tried again
+/// soon with whatever work there is.
+detection::Pace QuickPace(Duration target_latency) {
+  detection::Pace pace;
+  pace.expected_latency = target_latency / kTargetDivisor;
+  pace.first_interval = Seconds(3);
+  pace.longest_interval = Seconds(6);
+  pace.interval_jitter = 0.5;
+  pace.passes_to_restore = 2;
+  pace.least_threshold = 5;
+  pace.answered_word_share = 1;
+  pace.peers_judge_probation = true;
+  pace.tries_any_work = true;
+  pace.middle_counts_peers = false;
+  pace.warming_serves = true;
+  return pace;
+}
+
+routing::ChoiceSettings QuickChoice() {
+  routing::ChoiceSettings choice;
+  choice.trial_spacing = 2;
+  choice.tries_any_work = true;
+  return choice;
+}
 
 declarations::Service MakeTerms(const Forwarder& forwarder,
                                 const ServiceTerms& declared) {
@@ -40,6 +69,19 @@
   });
 }
 
+/// The shortest of the routes that go to the service.
+Duration TargetLatency(const Configuration& configuration,
+                       const std::string& service) {
+  Duration result = Seconds(1);
+  for (const Route& route : configuration.routes) {
+    for (const auto& it : route.services) {
+      if (it.service == service)
+        result = std::min(result, route.target_latency);
+    }
+  }
+  return result;
+}
+
 /// Second attempts are shared out over the instances that callers use; half of
 /// them are kept for requests that a server declined.
 routing::RetryAllowance AllowanceOf(const Forwarder& forwarder) {
@@ -66,11 +108,15 @@
         service.terms, has_idempotent_work, context.now);
     service.router = routing::MakeRouter(service.terms, forwarder.settings.zone,
                                          context.now);
+    routing::SetChoice(*service.router, QuickChoice());
   } else {
     detection::UpdateSettings(*service.detector, service.terms,
                               has_idempotent_work);
     routing::UpdateSettings(*service.router, service.terms);
   }
+  detection::SetPace(*service.detector,
+                     QuickPace(TargetLatency(*forwarder.routes->configuration,
+                                             declared.name)));
 }
 
 std::uint16_t MaxConnections(const Forwarder& forwarder,
@@ -206,19 +252,29 @@
   RefreshRouter(context, service);
 }
 
-void ShareOwnEvidence(Context& context, ServiceId id, ServiceState& service,
-                      bool at_once) {
-  const bool is_due =
-      context.now - service.evidence_shared_at >= kShareInterval;
-  if (!at_once && !is_due) return;
+void ShareDueEvidence(Context& context, ServiceId id, ServiceState& service) {
+  if (context.now - service.evidence_shared_at < kShareInterval) return;
   auto digests =
       detection::OwnDigests(*service.detector, id, kMostDigests, context.now);
-  std::erase_if(digests, [](const auto& it) { return it.score < kLeastTold; });
+  // What was ejected here has been told; the others make their own trials.
+  std::erase_if(digests, [&](const auto& it) {
+    return it.score < kLeastTold ||
+           detection::StateOf(*service.detector, it.server) ==
+               detection::ServerState::kEjected;
+  });
   if (digests.empty()) return;
   service.evidence_shared_at = context.now;
   context.forwarder.actions.emplace_back(ShareEvidence{std::move(digests)});
 }
 
+void ShareEvidenceOf(Context& context, ServiceId id, ServiceState& service,
+                     BackendServerId server) {
+  const auto digest =
+      detection::OwnDigest(*service.detector, id, server, context.now);
+  if (!digest || digest->score < kLeastTold) return;
+  context.forwarder.actions.emplace_back(ShareEvidence{{*digest}});
+}
+
 void SendDueProbes(Context& context, ServiceState& service) {
   for (const auto id : detection::ProbesDue(*service.detector, context.now)) {
     const auto it = service.servers.find(id);
--- a/src/libs/routing/choice.cc
+++ b/src/libs/routing/choice.cc
@@ -12,8 +12,6 @@
 
 /// Draws per sample, where servers warm up or have been tried.
 constexpr int kDraws = 4;
-/// A server in probation gets at most one of so many idempotent requests.
-constexpr std::uint32_t kTrialSpacing = 8;
 /// Time between two requests of the fleet to a server in probation.
 constexpr Duration kTrialInterval = Millis(25);
 
@@ -161,15 +159,19 @@
   return PickLeast(search, list, random);
 }
 
+/// Whether the request may go to a server on probation.
+bool MayBeTried(const Router& router, const Demand& demand) {
+  return router.choice.tries_any_work ||
+         demand.repeat == declarations::RepeatRule::kIdempotent;
+}
+
 /// A server in probation that is due for a request.
 std::optional<std::uint32_t> PickTrial(const Search& search) {
   const Router& router = search.router;
   const Demand& demand = search.demand;
   if (router.probation.empty() || demand.is_retry) return std::nullopt;
-  if (demand.repeat != declarations::RepeatRule::kIdempotent) {
-    return std::nullopt;
-  }
-  if (router.since_trial < kTrialSpacing) return std::nullopt;
+  if (!MayBeTried(router, demand)) return std::nullopt;
+  if (router.since_trial < router.choice.trial_spacing) return std::nullopt;
   const Duration interval =
       kTrialInterval * static_cast<std::int64_t>(router.fleet_size);
   for (const std::uint32_t it : router.probation) {
@@ -215,9 +217,8 @@
 
 bool HasOpenServer(const Router& router, const Demand& demand) {
   if (!router.healthy.empty() || !router.last_resort.empty()) return true;
-  const bool idempotent =
-      demand.repeat == declarations::RepeatRule::kIdempotent;
-  return idempotent && !demand.is_retry && !router.probation.empty();
+  return MayBeTried(router, demand) && !demand.is_retry &&
+         !router.probation.empty();
 }
 
 std::optional<Dispatch> Choose(const Router& router, const Demand& demand,
--- a/src/libs/routing/router.cc
+++ b/src/libs/routing/router.cc
@@ -72,7 +72,8 @@
   if (server.state == detection::ServerState::kProbation) {
     server.last_trial = now;
     router.since_trial = 0;
-  } else if (demand.repeat == declarations::RepeatRule::kIdempotent) {
+  } else if (router.choice.tries_any_work ||
+             demand.repeat == declarations::RepeatRule::kIdempotent) {
     ++router.since_trial;
   }
 }
--- a/src/libs/routing/router.h
+++ b/src/libs/routing/router.h
@@ -78,6 +78,26 @@
   std::uint8_t burst = 5;
 };
 
+/// How a server is chosen.
+struct ChoiceSettings {
+  /// Servers drawn at random and compared; 1: random choice, 0: all compared.
+  std::uint8_t samples = 0;
+  /// Count reports of other instances' load, not own requests alone.
+  bool use_reports = true;
+  /// Age at which a report has lost half its weight.
+  Duration report_memory = Millis(250);
+  /// Estimated load per slot up to which the own zone is preferred; 0: never.
+  double own_zone_room = 0.75;
+  /// Load per slot that a server may have beyond another one and still be
+  /// taken, when a connection to it is likely to be open and requests are too
+  /// rare to keep connections to all servers open.
+  double connection_worth = 0.2;
+  /// A server on probation gets at most one of so many requests.
+  std::uint32_t trial_spacing = 8;
+  /// Whether at-most-once work may be tried on probation, too.
+  bool tries_any_work = false;
+};
+
 /// What Pump decided for a call that was queued.
 struct Placed {
   CallId call;
@@ -98,6 +118,7 @@
 // Commands.
 
 void UpdateSettings(Router& router, const declarations::Service& service);
+void SetChoice(Router& router, const ChoiceSettings& settings);
 /// Bounds second attempts after failures, and those after declines, by the same
 /// allowance each; without it declines have a generous one.
 void SetRetryAllowance(Router& router, const RetryAllowance& allowance);
--- a/src/libs/routing/router_state.h
+++ b/src/libs/routing/router_state.h
@@ -13,22 +13,6 @@
 /// State of the router of one service.
 namespace ibisladder::routing {
 
-/// How a server is chosen.
-struct ChoiceSettings {
-  /// Servers drawn at random and compared; 1: random choice, 0: all compared.
-  std::uint8_t samples = 0;
-  /// Count reports of other instances' load, not own requests alone.
-  bool use_reports = true;
-  /// Age at which a report has lost half its weight.
-  Duration report_memory = Millis(250);
-  /// Estimated load per slot up to which the own zone is preferred; 0: never.
-  double own_zone_room = 0.75;
-  /// Load per slot that a server may have beyond another one and still be
-  /// taken, when a connection to it is likely to be open and requests are too
-  /// rare to keep connections to all servers open.
-  double connection_worth = 0.2;
-};
-
 namespace Internal {
 /// Gaps between first attempts count as this at the most.
 constexpr Duration kLongestGap = Seconds(10);
@@ -66,9 +50,6 @@
   std::uint32_t since_trial = 0;
 };
 
-/// For measurements that compare rules of choice.
-void SetChoice(Router& router, const ChoiceSettings& settings);
-
 }  // namespace ibisladder::routing
 
 #endif  // LIBS_ROUTING_ROUTER_STATE_H_
