Let cut latencies teach the norm, and use fast failers last

Cause: with a route time-out of 1.1 s the norm never saw the natural tail, so that each answer cut there spoke against its server, and all eleven servers of a service became last resorts.

--- a/src/libs/detection/detector.cc
+++ b/src/libs/detection/detector.cc
@@ -349,6 +349,15 @@
   return MakeDigest(service, *it, score);
 }
 
+bool FailsFast(const Detector& detector, BackendServerId server) {
+  const Server* it = FindServer(detector, server);
+  if (it == nullptr) return false;
+  return it->own.fast_failures > 0 ||
+         std::ranges::any_of(it->words, [](const auto& word) {
+           return word.is_answered && word.score > 0;
+         });
+}
+
 std::vector<ServerReport> Report(const Detector& detector) {
   std::vector<ServerReport> reports;
   reports.reserve(detector.servers.size());
--- a/src/libs/detection/detector.h
+++ b/src/libs/detection/detector.h
@@ -157,6 +157,9 @@
 /// The most telling digests of this instance's own evidence, at most `limit`.
 std::vector<Digest> OwnDigests(const Detector& detector, ServiceId service,
                                std::size_t limit, TimePoint now);
+/// Whether the server answers failures without trying, by this instance's own
+/// evidence or a peer's.
+bool FailsFast(const Detector& detector, BackendServerId server);
 std::vector<ServerReport> Report(const Detector& detector);
 
 }  // namespace ibisladder::detection
--- a/src/libs/detection/evidence.cc
+++ b/src/libs/detection/evidence.cc
@@ -139,7 +139,15 @@
 
 void LearnEnd(ServiceNorm& norm, AttemptEnd end, Duration latency,
               float weight) {
-  if (end == AttemptEnd::kOk) Learn(norm.latency, latency, weight);
+  // What is cut while it runs would have taken longer still: without it the
+  // norm would know no answers beyond a time-out, and suspect all that reach
+  // it.
+  const bool is_cut =
+      (end == AttemptEnd::kTimeout || end == AttemptEnd::kAbandoned) &&
+      static_cast<float>(latency.count()) > norm.latency.median_us;
+  if (end == AttemptEnd::kOk || (is_cut && IsKnown(norm.latency))) {
+    Learn(norm.latency, latency, weight);
+  }
   if (end == AttemptEnd::kOk || IsError(end)) {
     LearnRate(norm.error_rate, end != AttemptEnd::kOk, kLeastErrorRate, weight);
     const bool is_fast = end == AttemptEnd::kError && IsFast(norm, latency);
--- a/src/libs/gateway/services.cc
+++ b/src/libs/gateway/services.cc
@@ -204,6 +204,7 @@
     it.slots = server.entry.slots;
     it.max_connections = connections;
     it.state = detection::StateOf(*service.detector, id);
+    it.fails_fast = detection::FailsFast(*service.detector, id);
     it.closed = IsClosed(server);
     it.warm_since = server.warm_since;
     candidates.push_back(std::move(it));
--- a/src/libs/routing/choice.cc
+++ b/src/libs/routing/choice.cc
@@ -194,6 +194,7 @@
   router.own_healthy.clear();
   router.healthy.clear();
   router.last_resort.clear();
+  router.failing.clear();
   router.probation.clear();
   for (std::uint32_t it = 0; it < router.servers.size(); ++it) {
     const ServerLoad& server = router.servers[it];
@@ -204,7 +205,7 @@
         if (server.own_zone) router.own_healthy.push_back(it);
         break;
       case ServerState::kLastResort:
-        router.last_resort.push_back(it);
+        (server.fails_fast ? router.failing : router.last_resort).push_back(it);
         break;
       case ServerState::kProbation:
         router.probation.push_back(it);
@@ -216,7 +217,9 @@
 }
 
 bool HasOpenServer(const Router& router, const Demand& demand) {
-  if (!router.healthy.empty() || !router.last_resort.empty()) return true;
+  const bool has_some = !router.healthy.empty() ||
+                        !router.last_resort.empty() || !router.failing.empty();
+  if (has_some) return true;
   return MayBeTried(router, demand) && !demand.is_retry &&
          !router.probation.empty();
 }
@@ -245,6 +248,13 @@
   if (const auto last = PickFrom(search, router.last_resort, random)) {
     return Describe(router, *last, "last resort");
   }
+  // Waiting for others is better than a failure for certain.
+  if (!router.healthy.empty() || !router.last_resort.empty()) {
+    return std::nullopt;
+  }
+  if (const auto last = PickFrom(search, router.failing, random)) {
+    return Describe(router, *last, "failing, but the only one");
+  }
   return std::nullopt;
 }
 
--- a/src/libs/routing/router.h
+++ b/src/libs/routing/router.h
@@ -35,6 +35,8 @@
   std::uint16_t slots = 4;
   std::uint16_t max_connections = 300;
   detection::ServerState state = detection::ServerState::kHealthy;
+  /// Answers failures at once, and looks idle for that.
+  bool fails_fast = false;
   /// Leaving, drained, or outside this instance's subset: never chosen.
   bool closed = false;
   /// When it joined or was restored; its share grows from there.
--- a/src/libs/routing/router_state.h
+++ b/src/libs/routing/router_state.h
@@ -30,6 +30,8 @@
   std::vector<std::uint32_t> own_healthy;
   std::vector<std::uint32_t> healthy;
   std::vector<std::uint32_t> last_resort;
+  /// Last resorts that answer failures at once.
+  std::vector<std::uint32_t> failing;
   std::vector<std::uint32_t> probation;
   Internal::RetryBudget retries;
   /// For further attempts after definite sheds.
--- a/src/libs/routing/server_load.cc
+++ b/src/libs/routing/server_load.cc
@@ -57,6 +57,7 @@
   server.state = candidate.state;
   server.own_zone = own_zone;
   server.closed = candidate.closed;
+  server.fails_fast = candidate.fails_fast;
   server.slots = std::max<std::uint16_t>(candidate.slots, 1);
   server.warm_since = candidate.warm_since;
   const std::size_t users = std::max<std::size_t>(fleet_size, 1);
--- a/src/libs/routing/server_load.h
+++ b/src/libs/routing/server_load.h
@@ -17,6 +17,7 @@
   detection::ServerState state = detection::ServerState::kHealthy;
   bool own_zone = false;
   bool closed = false;
+  bool fails_fast = false;
   /// The server's own word; holds until it says otherwise or is reopened.
   bool draining = false;
   bool warming = false;
