Keep the defaults of detection as they were

Change: only evidence above zero counts; the quick judgements are settings of the pace, off by default. Ruled out: latencies that are cut, and fast failures scaled by the lenience of warm servers (scaled ones were judged fast; measured latency is used now).

--- a/src/libs/detection/detector.cc
+++ b/src/libs/detection/detector.cc
@@ -29,6 +29,8 @@
 constexpr float kLeastDigest = 0.25F;
 /// The most that one attempt can weigh, nats.
 constexpr float kMostPerSample = 8;
+/// Sum of answered failures that one fast failure reaches, and one other not.
+constexpr float kFastFailureScore = 5;
 constexpr Duration kProbeInterval = Seconds(1);
 /// Evidence of a failed probe, nats: health endpoints mislead.
 constexpr float kBadProbe = 0.5F;
@@ -54,7 +56,7 @@
 bool IsQuiet(const Server& server, const Score& score) {
   return server.state == ServerState::kHealthy && server.in_flight.empty() &&
          server.words.empty() && score.failures == 0 && score.slowness == 0 &&
-         score.fast_failures == 0;
+         score.answered_failures == 0;
 }
 
 void RebuildIndexes(Detector& detector) {
@@ -98,7 +100,7 @@
   const Duration judged =
       Internal::JudgedLatency(detector, server, latency, now);
   const auto increment = Internal::JudgeEnd(
-      detector.norm, end, judged,
+      detector.norm, end, judged, latency,
       Internal::FailureShareOfOthers(detector.recent, server.member.id));
   NoteRecent(detector, server, end, latency, now);
   if (now >= server.warm_until) {
@@ -107,7 +109,7 @@
   if (end == AttemptEnd::kShed) return;
   // What went wrong while the whole service was silent is nobody's own fault.
   const bool is_shared = end != AttemptEnd::kOk &&
-                         increment.fast_failures <= 0 &&
+                         increment.answered_failures <= 0 &&
                          now - latency <= detector.recent.silent_at;
   if (is_shared) return;
   Internal::Add(server.own, increment, LeastSum(detector, server));
@@ -173,7 +175,7 @@
           static_cast<std::int16_t>(
               std::clamp(std::round(score * kDigestUnits), -kMost, kMost)),
           static_cast<std::uint8_t>(std::min(samples, kMostSamples)),
-          scored.fast_failures >= scored.own};
+          scored.answered_failures >= scored.own};
 }
 
 }  // namespace
@@ -199,6 +201,8 @@
 void SetPace(Detector& detector, const Pace& pace) {
   detector.pace = pace;
   detector.norm.expected_latency = pace.expected_latency;
+  detector.norm.weighs_answered = pace.weighs_answered;
+  detector.norm.learns_cut_latencies = pace.learns_cut_latencies;
   Internal::UpdateThreshold(detector, detector.rate_from);
 }
 
@@ -352,9 +356,9 @@
 bool FailsFast(const Detector& detector, BackendServerId server) {
   const Server* it = FindServer(detector, server);
   if (it == nullptr) return false;
-  return it->own.fast_failures > 0 ||
+  return it->own.answered_failures > kFastFailureScore ||
          std::ranges::any_of(it->words, [](const auto& word) {
-           return word.is_answered && word.score > 0;
+           return word.is_answered && word.score > kFastFailureScore;
          });
 }
 
@@ -363,7 +367,7 @@
   reports.reserve(detector.servers.size());
   for (const auto& it : detector.servers) {
     const float own =
-        std::max({it.own.failures, it.own.slowness, it.own.fast_failures});
+        std::max({it.own.failures, it.own.slowness, it.own.answered_failures});
     const float peers = SumOfWords(it.words, detector.threshold,
                                    detector.pace.answered_word_share);
     reports.push_back({it.member.id, it.state, double{own + peers},
--- a/src/libs/detection/detector.h
+++ b/src/libs/detection/detector.h
@@ -107,6 +107,12 @@
   bool warming_serves = false;
   /// Usual latency of a service until it is known; zero: none is assumed.
   Duration expected_latency{};
+  /// Whether failures that the server itself answered count by themselves, and
+  /// fast ones most.
+  bool weighs_answered = false;
+  /// Whether the norm learns from work that is cut while it runs: without it
+  /// no latency beyond a route's time-out is ever seen.
+  bool learns_cut_latencies = false;
 };
 
 /// Detection state of one service; made by MakeDetector.
--- a/src/libs/detection/detector_state.h
+++ b/src/libs/detection/detector_state.h
@@ -67,7 +67,7 @@
 struct Score {
   float failures = 0;
   float slowness = 0;
-  float fast_failures = 0;
+  float answered_failures = 0;
   float in_flight = 0;
   /// This instance's own part, before any cap.
   float own = 0;
--- a/src/libs/detection/ejection.cc
+++ b/src/libs/detection/ejection.cc
@@ -57,10 +57,10 @@
 }
 
 Cause StrongestOf(const Score& score) {
-  const float own = std::max(
-      {score.failures, score.slowness, score.in_flight, score.fast_failures});
+  const float own = std::max({score.failures, score.slowness, score.in_flight,
+                              score.answered_failures});
   if (score.peers > score.own) return Cause::kPeers;
-  if (score.failures == own || score.fast_failures == own) {
+  if (score.failures == own || score.answered_failures == own) {
     return Cause::kFailures;
   }
   return score.slowness == own ? Cause::kSlowness : Cause::kInFlight;
--- a/src/libs/detection/evidence.cc
+++ b/src/libs/detection/evidence.cc
@@ -78,12 +78,14 @@
 }  // namespace
 
 Increment JudgeEnd(const ServiceNorm& norm, AttemptEnd end, Duration latency,
-                   double shared_failure_share) {
+                   Duration taken, double shared_failure_share) {
   const double shared = std::min(shared_failure_share, kMostErrorRate);
   if (IsError(end)) {
-    const bool is_fast = end == AttemptEnd::kError && IsFast(norm, latency);
+    const bool is_answered = norm.weighs_answered && end == AttemptEnd::kError;
+    const bool is_fast = is_answered && IsFast(norm, taken);
     if (is_fast) return {0, 0, FailureRatio(norm.fast_failure_rate)};
-    return {FailureRatio(std::max(norm.error_rate, shared)), 0};
+    const float ratio = FailureRatio(std::max(norm.error_rate, shared));
+    return {ratio, 0, is_answered ? ratio : 0};
   }
   if (end == AttemptEnd::kCorrupt) {
     return {FailureRatio(std::max(norm.corrupt_rate, shared)), 0};
@@ -112,11 +114,11 @@
 void Add(Evidence& evidence, const Increment& increment, float least) {
   evidence.failures = std::max(least, evidence.failures + increment.failures);
   evidence.slowness = std::max(least, evidence.slowness + increment.slowness);
-  evidence.fast_failures =
-      std::max(0.0F, evidence.fast_failures + increment.fast_failures);
+  evidence.answered_failures =
+      std::max(0.0F, evidence.answered_failures + increment.answered_failures);
   constexpr std::uint8_t kMostSamples = 255;
   const bool is_none = evidence.failures == 0 && evidence.slowness == 0 &&
-                       evidence.fast_failures == 0;
+                       evidence.answered_failures == 0;
   if (is_none) {
     evidence.samples = 0;
   } else if (evidence.samples < kMostSamples) {
@@ -128,13 +130,13 @@
   const Duration passed = now - evidence.updated;
   evidence.updated = now;
   const bool is_none = evidence.failures == 0 && evidence.slowness == 0 &&
-                       evidence.fast_failures == 0;
+                       evidence.answered_failures == 0;
   if (is_none) return;
   const auto factor = static_cast<float>(
       std::exp(-ToSeconds(passed) / ToSeconds(time_constant)));
   evidence.failures = FadeOf(evidence.failures, factor);
   evidence.slowness = FadeOf(evidence.slowness, factor);
-  evidence.fast_failures = FadeOf(evidence.fast_failures, factor);
+  evidence.answered_failures = FadeOf(evidence.answered_failures, factor);
 }
 
 void LearnEnd(ServiceNorm& norm, AttemptEnd end, Duration latency,
@@ -143,6 +145,7 @@
   // norm would know no answers beyond a time-out, and suspect all that reach
   // it.
   const bool is_cut =
+      norm.learns_cut_latencies &&
       (end == AttemptEnd::kTimeout || end == AttemptEnd::kAbandoned) &&
       static_cast<float>(latency.count()) > norm.latency.median_us;
   if (end == AttemptEnd::kOk || (is_cut && IsKnown(norm.latency))) {
@@ -150,7 +153,8 @@
   }
   if (end == AttemptEnd::kOk || IsError(end)) {
     LearnRate(norm.error_rate, end != AttemptEnd::kOk, kLeastErrorRate, weight);
-    const bool is_fast = end == AttemptEnd::kError && IsFast(norm, latency);
+    const bool is_answered = norm.weighs_answered && end == AttemptEnd::kError;
+    const bool is_fast = is_answered && IsFast(norm, latency);
     LearnRate(norm.fast_failure_rate, is_fast, kLeastFastFailureRate, weight);
   }
   if (end == AttemptEnd::kOk || end == AttemptEnd::kCorrupt) {
--- a/src/libs/detection/evidence.h
+++ b/src/libs/detection/evidence.h
@@ -18,8 +18,10 @@
   double corrupt_rate = 0.00005;
   /// Share of requests that fail much faster than work takes.
   double fast_failure_rate = 0.0005;
-  /// Stands for the median while the latency is not known; zero: none.
+  /// See Pace.
   Duration expected_latency{};
+  bool weighs_answered = false;
+  bool learns_cut_latencies = false;
 };
 
 /// Running sums for one server, from this instance's own work. Failures and
@@ -27,9 +29,10 @@
 struct Evidence {
   float failures = 0;
   float slowness = 0;
-  /// Failure answers that came much faster than work takes: nothing was tried.
-  /// They attract load, and prove that the path to the server works.
-  float fast_failures = 0;
+  /// Failures that the server itself answered, which proves that the path to it
+  /// works. Those that came much faster than work takes weigh most: nothing was
+  /// tried, and they attract load.
+  float answered_failures = 0;
   TimePoint updated;
   /// Attempts since the sums last left zero.
   std::uint8_t samples = 0;
@@ -39,13 +42,14 @@
 struct Increment {
   float failures = 0;
   float slowness = 0;
-  float fast_failures = 0;
+  float answered_failures = 0;
 };
 
-/// The increment of an ended attempt; zero for a definite shed.
+/// The increment of an ended attempt; zero for a definite shed. `latency` may
+/// be scaled to what the service shares now, `taken` is as measured.
 /// `shared_failure_share`: what the other servers fail at this moment.
 Increment JudgeEnd(const ServiceNorm& norm, AttemptEnd end, Duration latency,
-                   double shared_failure_share);
+                   Duration taken, double shared_failure_share);
 
 /// The evidence of an attempt that has been in flight for `age`.
 float JudgeInFlight(const ServiceNorm& norm, Duration age);
--- a/src/libs/detection/scoring.cc
+++ b/src/libs/detection/scoring.cc
@@ -76,21 +76,22 @@
   Score score;
   score.failures = server.own.failures;
   score.slowness = server.own.slowness;
-  score.fast_failures = server.own.fast_failures;
+  score.answered_failures = server.own.answered_failures;
   score.in_flight = InFlightEvidence(detector, server, now);
   const float untested =
       std::max(score.failures, score.slowness + score.in_flight);
-  score.own = std::max(untested, score.fast_failures);
+  const float bounded =
+      std::clamp(untested, detector.threshold * kLeastOwnShare,
+                 detector.threshold * MostOwnShare(detector, server, now));
+  // Answers prove the path: only what may be its fault is bounded.
+  const float answered = score.answered_failures;
+  const bool is_proven = answered > 0;
+  score.own = is_proven ? std::max(untested, answered) : untested;
   score.peers = SumOfWords(server.words, detector.threshold,
                            detector.pace.answered_word_share);
   score.raw = untested + (detector.pace.middle_counts_peers ? score.peers : 0);
-  // Answers prove the path: only what may be its fault is bounded.
   score.total =
-      score.peers +
-      std::max(
-          score.fast_failures,
-          std::clamp(untested, detector.threshold * kLeastOwnShare,
-                     detector.threshold * MostOwnShare(detector, server, now)));
+      score.peers + (is_proven ? std::max(bounded, answered) : bounded);
   return score;
 }
 
@@ -107,14 +108,14 @@
 bool IsOdd(const Detector& detector, const Server& server) {
   constexpr float kMiddles = 2;
   const float own = std::max(
-      {server.own.failures, server.own.slowness, server.own.fast_failures});
+      {server.own.failures, server.own.slowness, server.own.answered_failures});
   return own >= kOddScore + kMiddles * detector.middle;
 }
 
 float LeastSum(const Detector& detector, const Server& server) {
   const bool is_suspected =
       server.own.failures > 0 || server.own.slowness > 0 ||
-      server.own.fast_failures > 0 || AnySuspicion(server.words);
+      server.own.answered_failures > 0 || AnySuspicion(server.words);
   return is_suspected ? detector.threshold * kLeastOwnShare : 0;
 }
 
--- a/src/libs/gateway/services.cc
+++ b/src/libs/gateway/services.cc
@@ -35,6 +35,8 @@
   pace.tries_any_work = true;
   pace.middle_counts_peers = false;
   pace.warming_serves = true;
+  pace.weighs_answered = true;
+  pace.learns_cut_latencies = true;
   return pace;
 }
 
