Let one instance a zone read the lists, and tell the others

Change: the first instance of each zone, by a hash of the names, reads the lists and tells changes and a digest by datagram; silence of 0.6 s makes the next one take over, a digest that differs makes a reader. Ruled out: one watcher for all zones: its loss would be seen across zones.

--- a/src/libs/base/log_event.cc
+++ b/src/libs/base/log_event.cc
@@ -86,6 +86,8 @@
       return "server_entry_unreadable";
     case LogEvent::kMembersChanged:
       return "members_changed";
+    case LogEvent::kWatchDutyChanged:
+      return "watch_duty_changed";
     case LogEvent::kConfigurationInstalled:
       return "configuration_installed";
     case LogEvent::kConfigurationFetchFailed:
--- a/src/libs/base/log_event.h
+++ b/src/libs/base/log_event.h
@@ -47,6 +47,7 @@
   kServerReplaced = 1311,
   kServerEntryUnreadable = 1312,
   kMembersChanged = 1313,
+  kWatchDutyChanged = 1314,
 
   kConfigurationInstalled = 1401,
   kConfigurationFetchFailed = 1402,
--- a/src/libs/gateway/configuration.h
+++ b/src/libs/gateway/configuration.h
@@ -81,9 +81,19 @@
   /// How much longer it is slow after its start.
   Duration warm_up_left{};
 
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    std::int64_t warm_up_us = warm_up_left.count();
+    archive(name, started_ms, service, endpoint, zone, slots, draining,
+            warm_up_us);
+    warm_up_left = Duration(warm_up_us);
+  }
   friend bool operator==(const ServerEntry&, const ServerEntry&) = default;
 };
 
+/// Whether two entries say the same but for the time that passes.
+bool SaySame(const ServerEntry& a, const ServerEntry& b);
+
 /// Differs between incarnations of the same name.
 BackendServerId IdOf(const ServerEntry& entry);
 
--- /dev/null
+++ b/src/libs/gateway/list_news.cc
@@ -0,0 +1,154 @@
+#include "libs/gateway/list_news.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace ibisladder::gateway {
+namespace {
+
+/// Changes are told again for so long: a loss of two datagrams is made up.
+constexpr Duration kRepeatTime = Millis(1000);
+/// Without changes, news says at this interval that the sender watches.
+constexpr Duration kQuietInterval = Millis(250);
+/// Silence after which the next instance takes over: two lost datagrams.
+constexpr Duration kSilence = Millis(600);
+/// Each further instance waits longer, so that one takes over alone.
+constexpr Duration kTurn = Millis(100);
+constexpr std::size_t kMostTurns = 5;
+/// At the start all read the lists once, and learn of each other.
+constexpr Duration kStartTime = Millis(1500);
+
+class Hasher {
+ public:
+  void Add(const std::string& text) { Add(text.data(), text.size()); }
+  void Add(std::uint64_t number) { Add(&number, sizeof(number)); }
+  std::uint64_t value() const { return value_; }
+
+ private:
+  void Add(const void* bytes, std::size_t n) {
+    value_ = XXH64(bytes, n, value_);
+  }
+
+  std::uint64_t value_ = 0;
+};
+
+template <typename Same, typename T>
+void NoteChanges(const std::map<std::string, T>& before,
+                 const std::map<std::string, T>& after, Same same,
+                 std::map<std::string, TimePoint>& changes, TimePoint now) {
+  for (const auto& [name, value] : after) {
+    const auto it = before.find(name);
+    if (it == before.end() || !same(it->second, value)) changes[name] = now;
+  }
+  for (const auto& [name, value] : before) {
+    if (!after.contains(name)) changes[name] = now;
+  }
+}
+
+template <typename T>
+void TellChanges(const std::map<std::string, TimePoint>& changes,
+                 const std::map<std::string, T>& values, std::vector<T>& told,
+                 std::vector<std::string>& removed) {
+  for (const auto& [name, time] : changes) {
+    const auto it = values.find(name);
+    if (it != values.end()) {
+      told.push_back(it->second);
+    } else {
+      removed.push_back(name);
+    }
+  }
+}
+
+void DropOld(std::map<std::string, TimePoint>& changes, TimePoint now) {
+  std::erase_if(
+      changes, [now](const auto& it) { return now - it.second > kRepeatTime; });
+}
+
+/// Place of `name` in the order of duty within its zone.
+std::size_t RankOf(const SharedLists& lists, const ZoneName& zone,
+                   const std::string& name) {
+  const auto order = [](const std::string& it) {
+    constexpr std::uint64_t kSeed = 1;
+    return XXH64(it.data(), it.size(), kSeed);
+  };
+  std::size_t rank = 0;
+  for (const auto& [it, member] : lists.members) {
+    if (member.zone == zone && order(it) < order(name)) ++rank;
+  }
+  return rank;
+}
+
+}  // namespace
+
+std::uint64_t DigestOf(const SharedLists& lists) {
+  Hasher hasher;
+  for (const auto& [name, it] : lists.servers) {
+    hasher.Add(name);
+    hasher.Add(static_cast<std::uint64_t>(it.started_ms));
+    hasher.Add(it.service);
+    hasher.Add(FormatEndpoint(it.endpoint));
+    hasher.Add(it.slots);
+    hasher.Add(it.draining ? 1 : 0);
+  }
+  for (const auto& [name, it] : lists.members) {
+    hasher.Add(name);
+    hasher.Add(it.incarnation.value());
+  }
+  return hasher.value();
+}
+
+bool IsNewsDue(const NewsLog& log, const SharedLists& lists, TimePoint now) {
+  if (now - log.told_at >= kQuietInterval) return true;
+  return DigestOf(log.told) != DigestOf(lists);
+}
+
+ListNews MakeNews(NewsLog& log, const SharedLists& lists, TimePoint now) {
+  NoteChanges(log.told.servers, lists.servers, &SaySame, log.server_changes,
+              now);
+  NoteChanges(
+      log.told.members, lists.members,
+      [](const Member& a, const Member& b) { return a == b; },
+      log.member_changes, now);
+  DropOld(log.server_changes, now);
+  DropOld(log.member_changes, now);
+  ListNews news;
+  TellChanges(log.server_changes, lists.servers, news.servers,
+              news.removed_servers);
+  TellChanges(log.member_changes, lists.members, news.members,
+              news.removed_members);
+  news.digest = DigestOf(lists);
+  log.told = lists;
+  log.told_at = now;
+  return news;
+}
+
+bool ApplyNews(SharedLists& lists, const ListNews& news) {
+  for (const auto& it : news.servers) {
+    lists.servers.insert_or_assign(it.name, it);
+  }
+  for (const auto& it : news.removed_servers) lists.servers.erase(it);
+  for (const auto& it : news.members) {
+    lists.members.insert_or_assign(it.name, it);
+  }
+  for (const auto& it : news.removed_members) lists.members.erase(it);
+  return DigestOf(lists) == news.digest;
+}
+
+void NoteNews(WatchDuty& duty, const std::string& sender, TimePoint now) {
+  duty.heard[sender] = now;
+}
+
+bool MustWatch(const WatchDuty& duty, const SharedLists& lists, TimePoint now) {
+  if (now - duty.started_at < kStartTime) return false;
+  const std::size_t rank = RankOf(lists, duty.zone, duty.self);
+  if (rank == 0) return true;
+  TimePoint last = duty.started_at + kStartTime - kSilence;
+  for (const auto& [sender, heard] : duty.heard) {
+    if (RankOf(lists, duty.zone, sender) < rank) last = std::max(last, heard);
+  }
+  const auto turns = static_cast<std::int64_t>(std::min(rank, kMostTurns));
+  return now - last >= kSilence + kTurn * turns;
+}
+
+}  // namespace ibisladder::gateway
--- a/src/libs/storesync/store_view.cc
+++ b/src/libs/storesync/store_view.cc
@@ -165,8 +165,10 @@
   return changed;
 }
 
-void Adopt(StoreView& view, std::vector<Item> items) {
-  for (auto& it : items) Store(view, std::move(it));
+void Relist(StoreView& view, TimePoint now) {
+  StartListing(view);
+  view.is_waiting = false;
+  view.next_call_at = now;
 }
 
 }  // namespace ibisladder::storesync
--- a/src/libs/storesync/store_view.h
+++ b/src/libs/storesync/store_view.h
@@ -58,8 +58,8 @@
                  Random& random);
 /// Drops keys whose time to come back is over; whether any was dropped.
 bool DropMissing(StoreView& view, TimePoint now);
-/// Items learnt elsewhere, for a view that has none of its own.
-void Adopt(StoreView& view, std::vector<Item> items);
+/// Reads the whole list anew, without waiting for the reply to an open call.
+void Relist(StoreView& view, TimePoint now);
 
 }  // namespace ibisladder::storesync
 
--- a/src/plugins/fleet/fleet_task.cc
+++ b/src/plugins/fleet/fleet_task.cc
@@ -1,5 +1,6 @@
 #include "plugins/fleet/fleet_task.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "libs/wire/bounded_archive.h"
@@ -9,14 +10,22 @@
 
 /// Due calls and lapsed keys are looked at so often.
 constexpr Duration kStepInterval = Millis(100);
-/// Members and configuration change seldom; a herd of changes is read at once.
-constexpr Duration kMembersPace = Millis(500);
 constexpr Duration kConfigurationPace = Millis(50);
-constexpr Duration kServersWait = Seconds(2);
+/// Least time between two reads of changes: servers report all the time.
+constexpr Duration kServersPace = Millis(300);
+constexpr Duration kMembersPace = Millis(500);
+/// Short, so that a watcher knows soon that the store does not answer it.
+constexpr Duration kServersWait = Millis(300);
+/// Without a reply for so long a watcher tells no news.
+constexpr Duration kCurrentTime = Millis(800);
+/// Datagrams may overtake one another for so long before the lists are read.
+constexpr Duration kSyncPatience = Millis(350);
 /// Failed calls in a row from which on the store counts as lost.
 constexpr std::uint32_t kLostAfter = 3;
 
-/// The one datagram between instances.
+/// First byte of a datagram.
+enum class DatagramKind : char { kEvidence = 'e', kNews = 'n' };
+
 struct EvidenceDatagram {
   InstanceId sender;
   std::vector<detection::Digest> digests;
@@ -31,6 +40,11 @@
   return InstanceId(static_cast<std::uint32_t>(member.incarnation.value()));
 }
 
+template <typename T>
+std::string EncodeDatagram(DatagramKind kind, const T& value) {
+  return static_cast<char>(kind) + wire::EncodePortable(value);
+}
+
 storesync::ViewSettings ViewOf(const std::string& prefix, Duration pace) {
   storesync::ViewSettings settings;
   settings.prefix = prefix;
@@ -61,13 +75,15 @@
       configuration_(storesync::MakeStoreView(
           ViewOf(options_.reader.configuration_prefix, kConfigurationPace))),
       servers_(storesync::MakeStoreView(
-          ViewOf(options_.reader.servers_prefix, options_.servers_pace))),
+          ViewOf(options_.reader.servers_prefix, kServersPace))),
       member_items_(storesync::MakeStoreView(
           ViewOf(options_.reader.members_prefix, kMembersPace))),
       members_{options_.self},
       step_(loop, net::Timer::Kind::kPeriodic, kStepInterval,
             [this] { Step(); }) {
   servers_.settings.watch_wait = kServersWait;
+  lists_.members.emplace(options_.self.name, options_.self);
+  duty_ = {options_.self.name, options_.self.zone, net::MonotonicNow(), {}};
   registration_.key = options_.reader.members_prefix + options_.self.name;
   registration_.value = wire::EncodePortable(options_.self);
 }
@@ -83,12 +99,75 @@
 
 void FleetTask::Step() {
   const TimePoint now = net::MonotonicNow();
+  FollowDuty(now);
+  FollowSync(now);
+  PauseViews();
   SendDue(configuration_, Asker::kConfiguration);
   SendDue(servers_, Asker::kServers);
   SendDue(member_items_, Asker::kMembers);
   SendDueRegistration();
-  if (storesync::DropMissing(servers_, now)) ApplyServers();
-  if (storesync::DropMissing(member_items_, now)) ApplyMembers();
+  if (storesync::DropMissing(servers_, now)) ReadServers();
+  if (storesync::DropMissing(member_items_, now)) ReadMembers();
+  TellNews(now);
+}
+
+void FleetTask::FollowDuty(TimePoint now) {
+  const bool must_watch = gateway::MustWatch(duty_, lists_, now);
+  if (must_watch == is_watching_) return;
+  is_watching_ = must_watch;
+  Log(LogEvent::kWatchDutyChanged, {{"watching", must_watch ? "yes" : "no"}});
+  if (must_watch) RelistAll(now);
+  differs_since_.reset();
+}
+
+void FleetTask::FollowSync(TimePoint now) {
+  if (differs_since_ && now - *differs_since_ > kSyncPatience) {
+    RelistAll(now);
+    differs_since_.reset();
+  }
+  if (outdated_since_ && now - *outdated_since_ > kSyncPatience) {
+    Relist(configuration_, Asker::kConfiguration, now);
+    outdated_since_.reset();
+  }
+}
+
+/// Only watchers follow the changes; the others read a list when they must.
+void FleetTask::PauseViews() {
+  servers_.is_paused = !is_watching_ && !servers_.is_listing;
+  member_items_.is_paused = !is_watching_ && !member_items_.is_listing;
+}
+
+void FleetTask::RelistAll(TimePoint now) {
+  Relist(servers_, Asker::kServers, now);
+  Relist(member_items_, Asker::kMembers, now);
+}
+
+void FleetTask::Relist(storesync::StoreView& view, Asker asker, TimePoint now) {
+  std::erase_if(open_calls_,
+                [asker](const auto& it) { return it.second == asker; });
+  storesync::Relist(view, now);
+}
+
+bool FleetTask::IsCurrent(TimePoint now) const {
+  return is_watching_ && !servers_.is_listing &&
+         now - servers_.heard_at < kCurrentTime;
+}
+
+void FleetTask::TellNews(TimePoint now) {
+  if (!IsCurrent(now) || registration_.is_ending) return;
+  if (!gateway::IsNewsDue(news_log_, lists_, now)) return;
+  gateway::ListNews news = gateway::MakeNews(news_log_, lists_, now);
+  news.sender = options_.self.name;
+  news.configuration = version_;
+  const std::string bytes = EncodeDatagram(DatagramKind::kNews, news);
+  for (const auto& [name, member] : lists_.members) {
+    if (member.zone == options_.self.zone) SendTo(member, bytes);
+  }
+}
+
+void FleetTask::SendTo(const gateway::Member& member,
+                       const std::string& bytes) {
+  if (member.name != options_.self.name) peers_->Send(member.peers, bytes);
 }
 
 void FleetTask::SendDue(storesync::StoreView& view, Asker asker) {
@@ -125,14 +204,16 @@
       break;
     case Asker::kServers:
       if (storesync::HandleReply(servers_, reply, now, random_)) {
-        ApplyServers();
+        ReadServers();
       }
+      PauseViews();
       SendDue(servers_, asker);
       break;
     case Asker::kMembers:
       if (storesync::HandleReply(member_items_, reply, now, random_)) {
-        ApplyMembers();
+        ReadMembers();
       }
+      PauseViews();
       SendDue(member_items_, asker);
       break;
     case Asker::kRegistration:
@@ -167,16 +248,17 @@
         {{"place", read.error().place}, {"reason", read.error().message}});
     return;
   }
+  version_ = std::max(version_, read->version);
   configuration_changed_.emit(
       std::make_shared<const gateway::Configuration>(std::move(*read)));
 }
 
-void FleetTask::ApplyServers() {
-  std::vector<gateway::ServerEntry> entries;
+void FleetTask::ReadServers() {
+  lists_.servers.clear();
   for (const auto& [key, item] : servers_.items) {
     auto entry = options_.reader.read_server(key, item.value);
     if (entry) {
-      entries.push_back(std::move(*entry));
+      lists_.servers.insert_or_assign(entry->name, std::move(*entry));
       unreadable_.erase(key);
       continue;
     }
@@ -186,21 +268,36 @@
     Log(LogEvent::kServerEntryUnreadable,
         {{"key", key}, {"reason", entry.error().message}});
   }
-  if (entries == entries_) return;
-  entries_ = std::move(entries);
-  servers_changed_.emit(entries_);
+  has_lists_ = true;
+  Publish();
 }
 
-void FleetTask::ApplyMembers() {
-  std::vector<gateway::Member> members;
-  bool has_self = false;
+void FleetTask::ReadMembers() {
+  lists_.members.clear();
   for (const auto& [key, item] : member_items_.items) {
     gateway::Member member;
-    if (!wire::DecodePortable(item.value, member)) continue;
-    has_self |= member.name == options_.self.name;
-    members.push_back(std::move(member));
+    if (!wire::DecodePortable(item.value, member)) {
+      Log(LogEvent::kServerEntryUnreadable,
+          {{"key", key}, {"reason", "no entry of an instance"}});
+      continue;
+    }
+    lists_.members.insert_or_assign(member.name, std::move(member));
+  }
+  Publish();
+}
+
+void FleetTask::Publish() {
+  std::vector<gateway::ServerEntry> entries;
+  for (const auto& [name, entry] : lists_.servers) entries.push_back(entry);
+  const bool is_same = std::ranges::equal(entries, entries_, &gateway::SaySame);
+  if (!is_same) {
+    entries_ = std::move(entries);
+    servers_changed_.emit(entries_);
   }
-  if (!has_self && !registration_.is_ending) members.push_back(options_.self);
+  std::vector<gateway::Member> members;
+  for (const auto& [name, member] : lists_.members) members.push_back(member);
+  const bool is_listed = lists_.members.contains(options_.self.name);
+  if (!is_listed && !registration_.is_ending) members.push_back(options_.self);
   if (members == members_) return;
   members_ = std::move(members);
   Log(LogEvent::kMembersChanged,
@@ -209,21 +306,44 @@
 }
 
 void FleetTask::ShareEvidence(const std::vector<detection::Digest>& digests) {
-  const std::string bytes =
-      wire::EncodePortable(EvidenceDatagram{IdOf(options_.self), digests});
-  for (const auto& it : members_) {
-    if (it.name != options_.self.name) peers_->Send(it.peers, bytes);
-  }
+  const std::string bytes = EncodeDatagram(
+      DatagramKind::kEvidence, EvidenceDatagram{IdOf(options_.self), digests});
+  for (const auto& it : members_) SendTo(it, bytes);
 }
 
 void FleetTask::HandleDatagram(const net::Datagram& datagram) {
+  const std::string_view bytes = datagram.bytes;
+  const auto kind = static_cast<DatagramKind>(bytes.empty() ? 0 : bytes[0]);
+  const std::string_view body = bytes.substr(bytes.empty() ? 0 : 1);
   EvidenceDatagram evidence;
-  if (!wire::DecodePortable(datagram.bytes, evidence)) {
+  gateway::ListNews news;
+  if (kind == DatagramKind::kEvidence && wire::DecodePortable(body, evidence)) {
+    evidence_.emit(evidence.sender, evidence.digests);
+  } else if (kind == DatagramKind::kNews && wire::DecodePortable(body, news)) {
+    HandleNews(news);
+  } else {
     Log(LogEvent::kDatagramDropped,
         {{"peer", FormatEndpoint(datagram.peer)}, {"reason", "malformed"}});
-    return;
   }
-  evidence_.emit(evidence.sender, evidence.digests);
+}
+
+void FleetTask::HandleNews(const gateway::ListNews& news) {
+  const TimePoint now = net::MonotonicNow();
+  gateway::NoteNews(duty_, news.sender, now);
+  if (news.configuration <= version_) {
+    outdated_since_.reset();
+  } else if (!outdated_since_) {
+    outdated_since_ = now;
+  }
+  if (is_watching_) return;
+  const bool is_same = gateway::ApplyNews(lists_, news);
+  if (is_same) {
+    has_lists_ = true;
+    differs_since_.reset();
+  } else if (!differs_since_) {
+    differs_since_ = now;
+  }
+  Publish();
 }
 
 void FleetTask::Leave() {
--- a/src/plugins/fleet/fleet_task.h
+++ b/src/plugins/fleet/fleet_task.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -12,7 +13,7 @@
 #include "libs/base/log_event.h"
 #include "libs/detection/detector.h"
 #include "libs/gateway/configuration.h"
-#include "libs/gateway/directory.h"
+#include "libs/gateway/list_news.h"
 #include "libs/net/event_loop.h"
 #include "libs/net/udp_socket.h"
 #include "libs/storesync/registration.h"
@@ -41,8 +42,6 @@
     gateway::Member self;
     ItemReader reader;
     gateway::DirectorySettings directory;
-    /// Least time between two reads of the servers' changes.
-    Duration servers_pace = Millis(800);
     std::uint64_t seed = 1;
   };
 
@@ -57,12 +56,14 @@
   void Leave();
 
   std::vector<Endpoint> AddressesFor(const ZoneName& zone) const;
-  std::size_t members() const { return members_.size(); }
+  std::size_t members() const { return lists_.members.size(); }
+  /// Whether this instance reads the lists for its zone.
+  bool is_watching() const { return is_watching_; }
   /// Failed and all calls of the store since the start.
   std::uint64_t store_calls() const { return last_call_; }
   std::uint64_t store_failures() const { return failures_; }
   /// Whether the servers' list has been read once.
-  bool has_servers() const { return servers_.is_complete; }
+  bool has_servers() const { return has_lists_; }
 
   sigc::signal<void(const gateway::ConfigurationPtr&)>& signal_configuration() {
     return configuration_changed_;
@@ -93,15 +94,25 @@
 
   void Connect();
   void Step();
+  void FollowDuty(TimePoint now);
+  void FollowSync(TimePoint now);
+  void TellNews(TimePoint now);
+  bool IsCurrent(TimePoint now) const;
+  void RelistAll(TimePoint now);
+  void Relist(storesync::StoreView& view, Asker asker, TimePoint now);
+  void PauseViews();
   void SendDue(storesync::StoreView& view, Asker asker);
   void SendDueRegistration();
   void Send(Asker asker, const storesync::Call& call);
   void HandleReply(std::uint64_t id, const storesync::Reply& reply);
   void NoteReach(const storesync::Reply& reply);
   void ApplyConfiguration();
-  void ApplyServers();
-  void ApplyMembers();
+  void ReadServers();
+  void ReadMembers();
+  void Publish();
   void HandleDatagram(const net::Datagram& datagram);
+  void HandleNews(const gateway::ListNews& news);
+  void SendTo(const gateway::Member& member, const std::string& bytes);
   void Log(LogEvent event, std::vector<LogField> fields);
 
   Options options_;
@@ -112,6 +123,16 @@
   storesync::StoreView servers_;
   storesync::StoreView member_items_;
   storesync::Registration registration_;
+  gateway::SharedLists lists_;
+  bool has_lists_ = false;
+  gateway::WatchDuty duty_;
+  gateway::NewsLog news_log_;
+  bool is_watching_ = false;
+  /// Since when the lists differ from those that the zone's watcher tells.
+  std::optional<TimePoint> differs_since_;
+  /// Since when the watcher tells a higher version of the configuration.
+  std::optional<TimePoint> outdated_since_;
+  ConfigVersion version_;
   std::vector<gateway::Member> members_;
   std::vector<gateway::ServerEntry> entries_;
   std::map<std::string, storesync::Revision> unreadable_;
