--- a/src/plugins/fleet/fleet_task.cc
+++ b/src/plugins/fleet/fleet_task.cc
@@ -11,9 +11,13 @@
 /// Due calls and lapsed keys are looked at so often.
 constexpr Duration kStepInterval = Millis(100);
 constexpr Duration kConfigurationPace = Millis(50);
+/// The longest that the store allows.
+constexpr Duration kConfigurationWait = Seconds(30);
 /// Least time between two reads of changes: servers report all the time.
 constexpr Duration kServersPace = Millis(300);
 constexpr Duration kMembersPace = Millis(500);
+/// Instances that start together have registered by then.
+constexpr Duration kFirstMembersRead = Millis(700);
 /// Short, so that a watcher knows soon that the store does not answer it.
 constexpr Duration kServersWait = Millis(300);
 /// Without a reply for so long a watcher tells no news.
@@ -84,6 +88,8 @@
   servers_.settings.watch_wait = kServersWait;
   lists_.members.emplace(options_.self.name, options_.self);
   duty_ = {options_.self.name, options_.self.zone, net::MonotonicNow(), {}};
+  member_items_.next_call_at = net::MonotonicNow() + kFirstMembersRead;
+  configuration_.settings.watch_wait = kConfigurationWait;
   registration_.key = options_.reader.members_prefix + options_.self.name;
   registration_.value = wire::EncodePortable(options_.self);
 }
@@ -268,7 +274,7 @@
     Log(LogEvent::kServerEntryUnreadable,
         {{"key", key}, {"reason", entry.error().message}});
   }
-  has_lists_ = true;
+  has_lists_ = has_lists_ || member_items_.is_complete;
   Publish();
 }
 
@@ -283,6 +289,7 @@
     }
     lists_.members.insert_or_assign(member.name, std::move(member));
   }
+  has_lists_ = has_lists_ || servers_.is_complete;
   Publish();
 }
 
