--- a/src/libs/gateway/services.cc
+++ b/src/libs/gateway/services.cc
@@ -84,13 +84,12 @@
   return result;
 }
 
-/// Second attempts are shared out over the instances that callers use; half of
-/// them are kept for requests that a server declined.
+/// Second attempts are shared out over the instances that callers use.
 routing::RetryAllowance AllowanceOf(const Forwarder& forwarder) {
   const std::size_t instances = std::max<std::size_t>(forwarder.fleet_size, 1);
-  const std::size_t burst = forwarder.settings.retry_slack / instances / 2;
+  const std::size_t burst = forwarder.settings.retry_slack / instances;
   routing::RetryAllowance allowance;
-  allowance.percent = forwarder.settings.retry_percent / 2;
+  allowance.percent = forwarder.settings.retry_percent;
   allowance.burst =
       static_cast<std::uint8_t>(std::clamp<std::size_t>(burst, 1, 100));
   return allowance;
--- a/src/libs/routing/router.cc
+++ b/src/libs/routing/router.cc
@@ -214,10 +214,9 @@
 }
 
 void SetRetryAllowance(Router& router, const RetryAllowance& allowance) {
-  for (Internal::RetryBudget* it : {&router.retries, &router.shed_retries}) {
-    it->burst = allowance.burst;
-    Internal::SetPercent(*it, allowance.percent);
-  }
+  router.has_one_budget = true;
+  router.retries.burst = allowance.burst;
+  Internal::SetPercent(router.retries, allowance.percent);
 }
 
 void SetCandidates(Router& router, std::span<const Candidate> candidates,
@@ -252,8 +251,9 @@
   if (demand.deadline <= now) {
     return Refused{ResultCode::kDeadlineBeforeDispatch, Duration{}};
   }
+  const bool has_own_budget = demand.after_shed && !router.has_one_budget;
   Internal::RetryBudget& budget =
-      demand.after_shed ? router.shed_retries : router.retries;
+      has_own_budget ? router.shed_retries : router.retries;
   if (demand.is_retry && !Internal::MayRetry(budget)) {
     return Internal::RefuseOverload(router, random);
   }
--- a/src/libs/routing/router.h
+++ b/src/libs/routing/router.h
@@ -72,7 +72,8 @@
 };
 using Placement = std::variant<Dispatch, Queued, Refused>;
 
-/// Second attempts that this instance may make; each kind on its own.
+/// Second attempts that this instance may make, after failures and after
+/// declines together.
 struct RetryAllowance {
   /// Per 100 first attempts.
   std::uint8_t percent = 10;
@@ -121,8 +122,8 @@
 
 void UpdateSettings(Router& router, const declarations::Service& service);
 void SetChoice(Router& router, const ChoiceSettings& settings);
-/// Bounds second attempts after failures, and those after declines, by the same
-/// allowance each; without it declines have a generous one.
+/// Bounds second attempts after failures and after declines by one allowance;
+/// without it declines have a generous one of their own.
 void SetRetryAllowance(Router& router, const RetryAllowance& allowance);
 /// Known servers keep their load state.
 void SetCandidates(Router& router, std::span<const Candidate> candidates,
--- a/src/libs/routing/router_state.h
+++ b/src/libs/routing/router_state.h
@@ -34,6 +34,8 @@
   std::vector<std::uint32_t> failing;
   std::vector<std::uint32_t> probation;
   Internal::RetryBudget retries;
+  /// Declines count in `retries`, too.
+  bool has_one_budget = false;
   /// For further attempts after definite sheds.
   Internal::RetryBudget shed_retries;
   Internal::WaitQueue queue;
