Restore a server everywhere once it has passed probation at one instance

Cause: each of 9 to 12 instances needed two good answers of its own, at one to two requests a second each; of seven servers of jobboard two to four stayed out, and the others were overloaded.

--- a/src/libs/detection/detector.cc
+++ b/src/libs/detection/detector.cc
@@ -344,6 +344,11 @@
   return digests;
 }
 
+Digest GoodWord(ServiceId service, BackendServerId server) {
+  const float units = Internal::kPassedWord * kDigestUnits;
+  return {service, server, static_cast<std::int16_t>(units), 1, true};
+}
+
 std::optional<Digest> OwnDigest(const Detector& detector, ServiceId service,
                                 BackendServerId server, TimePoint now) {
   const Server* it = FindServer(detector, server);
--- a/src/libs/detection/detector.h
+++ b/src/libs/detection/detector.h
@@ -71,6 +71,8 @@
   ServerState from;
   ServerState to;
   std::string reason;
+  /// Rests on work of this instance, not on peers' words or on time alone.
+  bool is_own = true;
 };
 
 /// What operators see of one server.
@@ -146,6 +148,8 @@
 /// A peer's latest word, which replaces its previous one. Capped trust.
 void MergePeerDigests(Detector& detector, InstanceId peer,
                       std::span<const Digest> digests, TimePoint now);
+/// The digest that tells peers that a server has passed probation here.
+Digest GoodWord(ServiceId service, BackendServerId server);
 /// The digest of one server, whatever its state; none without evidence.
 std::optional<Digest> OwnDigest(const Detector& detector, ServiceId service,
                                 BackendServerId server, TimePoint now);
--- a/src/libs/detection/detector_state.h
+++ b/src/libs/detection/detector_state.h
@@ -29,6 +29,7 @@
   kPeers,
   kIntervalOver,
   kProbationPassed,
+  kPeersPassed,
   kProbationFailed,
   kFloor,
   kRecovered,
--- a/src/libs/detection/ejection.cc
+++ b/src/libs/detection/ejection.cc
@@ -48,7 +48,10 @@
 
 void Change(Server& server, ServerState to, Cause cause, float score,
             TimePoint now, std::vector<StateChange>& changes) {
-  changes.push_back({server.member.id, server.state, to, DescribeCause(cause)});
+  const bool is_own = cause != Cause::kPeers && cause != Cause::kPeersPassed &&
+                      cause != Cause::kIntervalOver;
+  changes.push_back(
+      {server.member.id, server.state, to, DescribeCause(cause), is_own});
   server.state = to;
   server.cause = cause;
   server.score_then = score;
@@ -113,6 +116,15 @@
   }
 }
 
+/// Whether a peer has had the server's good answers since it left service here.
+bool HasPassedElsewhere(const Detector& detector, const Server& server) {
+  if (!detector.pace.peers_judge_probation) return false;
+  return std::ranges::any_of(server.words, [&](const PeerWord& it) {
+    return it.is_answered && it.score <= kPassedWord &&
+           it.heard > server.since && it.heard > server.prolonged_at;
+  });
+}
+
 /// Whether a last resort is due to be used as before. Its evidence does not
 /// fade while it gets no work.
 bool IsDueBack(const Detector& detector, const Server& server, TimePoint now) {
@@ -212,6 +224,12 @@
            float threshold, TimePoint now, Random& random,
            std::vector<StateChange>& changes) {
   if (server.member.leaving) return;
+  if (server.state != ServerState::kHealthy &&
+      HasPassedElsewhere(detector, server)) {
+    server.words.clear();
+    Restore(detector, server, Cause::kPeersPassed, now, changes);
+    return;
+  }
   switch (server.state) {
     case ServerState::kHealthy:
     case ServerState::kLastResort:
@@ -243,6 +261,8 @@
       return "ejection interval over";
     case Cause::kProbationPassed:
       return "passed probation";
+    case Cause::kPeersPassed:
+      return "passed probation at another instance";
     case Cause::kProbationFailed:
       return "failed probation";
     case Cause::kFloor:
--- a/src/libs/detection/peer_words.h
+++ b/src/libs/detection/peer_words.h
@@ -20,6 +20,9 @@
 /// Shares of the threshold that bound what others may contribute.
 constexpr float kOnePeerShare = 1.0F / 3;
 constexpr float kAllPeersShare = 1.4F;
+/// Score of the word that a server has passed probation, nats; no other word is
+/// as good.
+constexpr float kPassedWord = -100;
 constexpr float kAllPeersAgainstShare = 0.5F;
 
 /// Replaces the peer's previous word.
--- a/src/libs/gateway/services.cc
+++ b/src/libs/gateway/services.cc
@@ -246,6 +246,12 @@
     if (it.to == detection::ServerState::kEjected) {
       ++context.forwarder.counters.ejections;
     }
+    const bool has_passed = it.from == detection::ServerState::kProbation &&
+                            it.to == detection::ServerState::kHealthy;
+    if (has_passed && it.is_own) {
+      context.forwarder.actions.emplace_back(ShareEvidence{
+          {detection::GoodWord(MakeServiceId(service.terms.name), it.server)}});
+    }
     Log(context, EventOf(it.to),
         {{"service", service.terms.name},
          {"server", NameOf(service, it.server)},
