--- a/src/libs/gateway/services.cc
+++ b/src/libs/gateway/services.cc
@@ -25,8 +25,8 @@
 detection::Pace QuickPace(Duration target_latency) {
   detection::Pace pace;
   pace.expected_latency = target_latency / kTargetDivisor;
-  pace.first_interval = Seconds(3);
-  pace.longest_interval = Seconds(6);
+  pace.first_interval = Seconds(4);
+  pace.longest_interval = Seconds(7);
   pace.interval_jitter = 0.5;
   pace.passes_to_restore = 2;
   pace.least_threshold = 5;
