Make the watch on the configuration anew after an outage

Change: a success after a failed call makes the watch anew, and the watcher of a zone, whose news tell the version, waits one second only. Ruled out: short waits everywhere, 44 calls a second.

--- a/src/plugins/fleet/fleet_task.cc
+++ b/src/plugins/fleet/fleet_task.cc
@@ -13,6 +13,9 @@
 constexpr Duration kConfigurationPace = Millis(50);
 /// The longest that the store allows.
 constexpr Duration kConfigurationWait = Seconds(30);
+/// A watcher's news tells the others of a version that their own call, lost in
+/// an outage, would never bring.
+constexpr Duration kWatcherConfigurationWait = Seconds(1);
 /// Least time between two reads of changes: servers report all the time.
 constexpr Duration kServersPace = Millis(300);
 constexpr Duration kMembersPace = Millis(500);
@@ -122,7 +125,12 @@
   if (must_watch == is_watching_) return;
   is_watching_ = must_watch;
   Log(LogEvent::kWatchDutyChanged, {{"watching", must_watch ? "yes" : "no"}});
-  if (must_watch) RelistAll(now);
+  configuration_.settings.watch_wait =
+      must_watch ? kWatcherConfigurationWait : kConfigurationWait;
+  if (must_watch) {
+    RelistAll(now);
+    Relist(configuration_, Asker::kConfiguration, now);
+  }
   differs_since_.reset();
 }
 
@@ -232,6 +240,10 @@
 void FleetTask::NoteReach(const storesync::Reply& reply) {
   const auto* failed = std::get_if<storesync::CallFailed>(&reply);
   if (failed == nullptr) {
+    // A watch that was open meanwhile may be one of the calls that got lost.
+    if (failures_in_row_ > 0 && configuration_.is_waiting) {
+      Relist(configuration_, Asker::kConfiguration, net::MonotonicNow());
+    }
     failures_in_row_ = 0;
     if (std::exchange(is_store_lost_, false)) {
       Log(LogEvent::kStoreBack, {{"calls", std::to_string(last_call_)}});
