Follow a store that is back within the time that machines have

Change: who begins to tell says nothing of what it knows already, and nobody tells while lapsed keys may come back; renewals look every quarter second while the store is lost, nothing else calls; a list that differs from a current watcher's is read without grace. Ruled out: a shorter grace, entries may take two seconds to come back.

--- a/src/libs/gateway/list_news.cc
+++ b/src/libs/gateway/list_news.cc
@@ -98,6 +98,12 @@
   return hasher.value();
 }
 
+NewsLog StartNews(const SharedLists& lists) {
+  NewsLog log;
+  log.told = lists;
+  return log;
+}
+
 bool IsNewsDue(const NewsLog& log, const SharedLists& lists, TimePoint now) {
   if (now - log.told_at >= kQuietInterval) return true;
   return DigestOf(log.told) != DigestOf(lists);
--- a/src/libs/gateway/list_news.h
+++ b/src/libs/gateway/list_news.h
@@ -50,6 +50,9 @@
   TimePoint told_at;
 };
 
+/// Begins to tell: what is known by then is no change. A list from before an
+/// absence would bring back what has left meanwhile.
+NewsLog StartNews(const SharedLists& lists);
 /// Whether news should be sent now: something has changed, or it is time to
 /// say that nothing has.
 bool IsNewsDue(const NewsLog& log, const SharedLists& lists, TimePoint now);
--- a/src/libs/storesync/registration.cc
+++ b/src/libs/storesync/registration.cc
@@ -7,6 +7,9 @@
 
 /// Renewals within one time to live: two may be lost.
 constexpr int kRenewals = 3;
+/// Renewals also tell when a lost store is back: often, at a tenth of the price
+/// of other calls.
+constexpr BackoffLimits kRenewalBackoff{Millis(150), Millis(250)};
 
 }  // namespace
 
@@ -30,7 +33,7 @@
   if (std::holds_alternative<CallFailed>(reply)) {
     ++registration.failures;
     registration.next_call_at =
-        now + SpreadBackoff({}, registration.failures, random);
+        now + SpreadBackoff(kRenewalBackoff, registration.failures, random);
     return;
   }
   registration.failures = 0;
--- a/src/libs/storesync/store_view.cc
+++ b/src/libs/storesync/store_view.cc
@@ -84,15 +84,10 @@
   return changed;
 }
 
-void NoteReturn(StoreView& view, TimePoint now) {
-  const bool was_out =
-      view.failures >= kOutageFailures ||
-      (view.is_complete &&
-       now - view.heard_at > view.settings.watch_wait + kOutageSilence);
-  if (was_out && view.is_complete) {
-    view.had_outage = true;
-    view.returned_at = now;
-  }
+void NoteReply(StoreView& view, TimePoint now) {
+  const bool was_silent =
+      now - view.heard_at > view.settings.watch_wait + kOutageSilence;
+  if (view.failures >= kOutageFailures || was_silent) NoteReturn(view, now);
   view.failures = 0;
   view.heard_at = now;
 }
@@ -140,7 +135,7 @@
     if (view.is_listing) StartListing(view);
     return false;
   }
-  NoteReturn(view, now);
+  NoteReply(view, now);
   if (const auto* page = std::get_if<RangeReply>(&reply)) {
     return TakePage(view, *page, now);
   }
@@ -165,10 +160,32 @@
   return changed;
 }
 
+void NoteReturn(StoreView& view, TimePoint now) {
+  view.is_waiting = false;
+  view.next_call_at = now;
+  view.failures = 0;
+  view.heard_at = now;
+  if (!view.is_complete) return;
+  view.had_outage = true;
+  view.returned_at = now;
+}
+
+void TrustNextList(StoreView& view) {
+  view.had_outage = false;
+  view.missing.clear();
+}
+
+bool IsCurrent(const StoreView& view, TimePoint now, Duration limit) {
+  return view.is_complete && !view.is_listing && now - view.heard_at < limit &&
+         view.missing.empty() && !MayComeBack(view, now);
+}
+
 void Relist(StoreView& view, TimePoint now) {
   StartListing(view);
   view.is_waiting = false;
   view.next_call_at = now;
+  // A view that was paused has not been silent.
+  view.heard_at = now;
 }
 
 }  // namespace ibisladder::storesync
--- a/src/libs/storesync/store_view.h
+++ b/src/libs/storesync/store_view.h
@@ -58,6 +58,15 @@
                  Random& random);
 /// Drops keys whose time to come back is over; whether any was dropped.
 bool DropMissing(StoreView& view, TimePoint now);
+/// The store answers again after an outage, as another call has shown; calls
+/// that are open since then are given up.
+void NoteReturn(StoreView& view, TimePoint now);
+/// Another instance has followed the store meanwhile: what the next list lacks
+/// has left, and has not lapsed.
+void TrustNextList(StoreView& view);
+/// Whether the copy is the store's word now: a reply came within `limit`, and
+/// no key is kept that may have lapsed in an outage.
+bool IsCurrent(const StoreView& view, TimePoint now, Duration limit);
 /// Reads the whole list anew, without waiting for the reply to an open call.
 void Relist(StoreView& view, TimePoint now);
 
--- a/src/plugins/fleet/fleet_task.cc
+++ b/src/plugins/fleet/fleet_task.cc
@@ -136,6 +136,8 @@
 
 void FleetTask::FollowSync(TimePoint now) {
   if (differs_since_ && now - *differs_since_ > kSyncPatience) {
+    storesync::TrustNextList(servers_);
+    storesync::TrustNextList(member_items_);
     RelistAll(now);
     differs_since_.reset();
   }
@@ -146,9 +148,13 @@
 }
 
 /// Only watchers follow the changes; the others read a list when they must.
+/// While the store is lost, renewals alone look whether it is back.
 void FleetTask::PauseViews() {
-  servers_.is_paused = !is_watching_ && !servers_.is_listing;
-  member_items_.is_paused = !is_watching_ && !member_items_.is_listing;
+  servers_.is_paused =
+      is_store_lost_ || (!is_watching_ && !servers_.is_listing);
+  member_items_.is_paused =
+      is_store_lost_ || (!is_watching_ && !member_items_.is_listing);
+  configuration_.is_paused = is_store_lost_;
 }
 
 void FleetTask::RelistAll(TimePoint now) {
@@ -163,12 +169,14 @@
 }
 
 bool FleetTask::IsCurrent(TimePoint now) const {
-  return is_watching_ && !servers_.is_listing &&
-         now - servers_.heard_at < kCurrentTime;
+  return is_watching_ && storesync::IsCurrent(servers_, now, kCurrentTime) &&
+         member_items_.is_complete && !member_items_.is_listing;
 }
 
 void FleetTask::TellNews(TimePoint now) {
-  if (!IsCurrent(now) || registration_.is_ending) return;
+  const bool was_telling = std::exchange(is_telling_, IsCurrent(now));
+  if (!is_telling_ || registration_.is_ending) return;
+  if (!was_telling) news_log_ = gateway::StartNews(lists_);
   if (!gateway::IsNewsDue(news_log_, lists_, now)) return;
   gateway::ListNews news = gateway::MakeNews(news_log_, lists_, now);
   news.sender = options_.self.name;
@@ -245,9 +253,7 @@
       Relist(configuration_, Asker::kConfiguration, net::MonotonicNow());
     }
     failures_in_row_ = 0;
-    if (std::exchange(is_store_lost_, false)) {
-      Log(LogEvent::kStoreBack, {{"calls", std::to_string(last_call_)}});
-    }
+    if (is_store_lost_) FollowReturn();
     return;
   }
   ++failures_;
@@ -257,6 +263,19 @@
                              {"failures", std::to_string(failures_in_row_)}});
 }
 
+void FleetTask::FollowReturn() {
+  const TimePoint now = net::MonotonicNow();
+  is_store_lost_ = false;
+  std::erase_if(open_calls_, [](const auto& it) {
+    return it.second != Asker::kRegistration;
+  });
+  for (auto* it : {&configuration_, &servers_, &member_items_}) {
+    storesync::NoteReturn(*it, now);
+  }
+  PauseViews();
+  Log(LogEvent::kStoreBack, {{"calls", std::to_string(last_call_)}});
+}
+
 void FleetTask::ApplyConfiguration() {
   const auto it = configuration_.items.find(options_.reader.configuration_key);
   if (it == configuration_.items.end()) return;
--- a/src/plugins/fleet/fleet_task.h
+++ b/src/plugins/fleet/fleet_task.h
@@ -105,6 +105,7 @@
   void SendDueRegistration();
   void Send(Asker asker, const storesync::Call& call);
   void HandleReply(std::uint64_t id, const storesync::Reply& reply);
+  void FollowReturn();
   void NoteReach(const storesync::Reply& reply);
   void ApplyConfiguration();
   void ReadServers();
@@ -128,6 +129,7 @@
   gateway::WatchDuty duty_;
   gateway::NewsLog news_log_;
   bool is_watching_ = false;
+  bool is_telling_ = false;
   /// Since when the lists differ from those that the zone's watcher tells.
   std::optional<TimePoint> differs_since_;
   /// Since when the watcher tells a higher version of the configuration.
--- a/tests/auto/gateway/list_news_test.cc
+++ b/tests/auto/gateway/list_news_test.cc
@@ -102,6 +102,13 @@
       CPPUNIT_ASSERT(
           !ApplyNews(receiver, MakeNews(log, sender, kStart + Seconds(5))));
     });
+    Section("who begins to tell brings back nothing that has left", [&] {
+      SharedLists absent = sender;
+      absent.servers.emplace("gone", MakeServer("gone", "s"));
+      NewsLog late = StartNews(absent);
+      ApplyNews(receiver, MakeNews(late, absent, kStart + Seconds(5)));
+      CPPUNIT_ASSERT(!receiver.servers.contains("gone"));
+    });
     Section("time that passes is no change", [&] {
       sender.servers.at("s2").warm_up_left = Seconds(1);
       CPPUNIT_ASSERT(!IsNewsDue(log, sender, kStart + Seconds(5)));
--- a/tests/auto/storesync/store_view_test.cc
+++ b/tests/auto/storesync/store_view_test.cc
@@ -103,21 +103,45 @@
       reader.Reply(Page({MakeItem("p/b", 2)}, 9));
       CPPUNIT_ASSERT(reader.view.items.contains("p/a"));
     });
+    Section("and the copy is not told on as the store's word", [&] {
+      CPPUNIT_ASSERT(!IsCurrent(reader.view, reader.now, Seconds(9)));
+    });
     Section("one that comes back is kept", [&] {
       Reader other = reader;
       other.Reply(WatchReply{{{"p/a", "v", Revision(10)}}, Revision(10)});
       other.now += Seconds(3);
       CPPUNIT_ASSERT(!DropMissing(other.view, other.now));
     });
+    Section("unless another instance has followed the store meanwhile", [&] {
+      Reader other = reader;
+      TrustNextList(other.view);
+      Relist(other.view, other.now);
+      other.Reply(Page({MakeItem("p/b", 2)}, 9));
+      CPPUNIT_ASSERT(!other.view.items.contains("p/a"));
+    });
     Section("one that does not is gone after two seconds", [&] {
       reader.now += Seconds(2);
       CPPUNIT_ASSERT(DropMissing(reader.view, reader.now));
       CPPUNIT_ASSERT(!reader.view.items.contains("p/a"));
+      CPPUNIT_ASSERT(IsCurrent(reader.view, reader.now, Seconds(9)));
     });
   }
 
   void FailuresAreSpaced() {
     Reader reader = MakeReader();
+    Section("a return that another call has shown is followed at once", [] {
+      Reader other = MakeReader();
+      other.Reply(kNoReply);
+      NoteReturn(other.view, other.now);
+      CPPUNIT_ASSERT(NextCall(other.view, other.now));
+    });
+    Section("a list that is read after a pause follows no outage", [] {
+      Reader other = MakeReader();
+      other.now += Seconds(60);
+      Relist(other.view, other.now);
+      other.Reply(Page({MakeItem("p/b", 2)}, 9));
+      CPPUNIT_ASSERT(!other.view.items.contains("p/a"));
+    });
     Section("no call follows a failure at once", [&] {
       reader.Reply(kNoReply);
       CPPUNIT_ASSERT(!NextCall(reader.view, reader.now));
