--- a/src/plugins/gateway/caller_connections.h
+++ b/src/plugins/gateway/caller_connections.h
@@ -64,8 +64,8 @@
                        sockaddr* address, int size, void* self);
   static void OnReadable(bufferevent* bev, void* connection);
   static void OnWritten(bufferevent* bev, void* connection);
-  static void OnEvent(bufferevent* bev, short what,
-                      void* connection);  // NOLINT
+  static void OnEvent(bufferevent* bev, short what,  // NOLINT
+                      void* connection);
 
   void Read(Internal::CallerConnection& connection);
   void TakeRequests(Internal::CallerConnection& connection,
--- a/src/plugins/gateway/server_connections.h
+++ b/src/plugins/gateway/server_connections.h
@@ -65,8 +65,8 @@
 
  private:
   static void OnReadable(bufferevent* bev, void* connection);
-  static void OnEvent(bufferevent* bev, short what,
-                      void* connection);  // NOLINT
+  static void OnEvent(bufferevent* bev, short what,  // NOLINT
+                      void* connection);
 
   Internal::ServerConnection* TakeIdle(BackendServerId server);
   Internal::ServerConnection& Open(const ServerExchange& exchange);
--- a/tests/auto/gateway/forwarder_test.cc
+++ b/tests/auto/gateway/forwarder_test.cc
@@ -225,7 +225,8 @@
             while (handled < path.sent.size()) {
               const SendAttempt attempt = path.sent[handled++];
               const CallId call = attempt.request->call;
-              const int end = (it / 2 + attempt.attempt.value()) % 7;
+              const std::uint64_t end =
+                  (it / 2U + attempt.attempt.value()) % 7U;
               if (end >= 2) ++runs[call];
               if (end == 0) Decline(path, attempt);
               if (end == 1) {
