--- a/src/libs/callerpath/services.cc
+++ b/src/libs/callerpath/services.cc
@@ -149,20 +149,6 @@
   return true;
 }
 
-LogEvent EventOf(detection::ServerState state) {
-  switch (state) {
-    case detection::ServerState::kHealthy:
-      return LogEvent::kServerRestored;
-    case detection::ServerState::kEjected:
-      return LogEvent::kServerEjected;
-    case detection::ServerState::kProbation:
-      return LogEvent::kServerProbation;
-    case detection::ServerState::kLastResort:
-      break;
-  }
-  return LogEvent::kEjectionRefusedByFloor;
-}
-
 }  // namespace
 
 std::size_t FleetSize(const CallerPath& path) {
@@ -212,7 +198,7 @@
     if (it.to == detection::ServerState::kHealthy) {
       server->second.warm_since = context.now;
     }
-    Log(context, EventOf(it.to),
+    Log(context, detection::EventOf(it.to),
         {{"service", service.declared->name},
          {"server", server->second.declared->name},
          {"reason", it.reason}});
--- a/src/libs/detection/detector.cc
+++ b/src/libs/detection/detector.cc
@@ -180,6 +180,20 @@
 
 }  // namespace
 
+LogEvent EventOf(ServerState state) {
+  switch (state) {
+    case ServerState::kHealthy:
+      return LogEvent::kServerRestored;
+    case ServerState::kEjected:
+      return LogEvent::kServerEjected;
+    case ServerState::kProbation:
+      return LogEvent::kServerProbation;
+    case ServerState::kLastResort:
+      break;
+  }
+  return LogEvent::kEjectionRefusedByFloor;
+}
+
 void DetectorDeleter::operator()(Detector* detector) const { delete detector; }
 
 DetectorPtr MakeDetector(const declarations::Service& service,
--- a/src/libs/detection/detector.h
+++ b/src/libs/detection/detector.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "libs/base/log_event.h"
 #include "libs/base/random.h"
 #include "libs/base/strong_types.h"
 #include "libs/base/time.h"
@@ -39,6 +40,9 @@
                ///< others cannot take.
 };
 
+/// The log event of a change to `state`.
+LogEvent EventOf(ServerState state);
+
 /// A server as declared and listed now.
 struct Member {
   BackendServerId id;
--- a/src/libs/gateway/services.cc
+++ b/src/libs/gateway/services.cc
@@ -137,20 +137,6 @@
   return it == service.servers.end() ? "unknown" : it->second.entry.name;
 }
 
-LogEvent EventOf(detection::ServerState state) {
-  switch (state) {
-    case detection::ServerState::kHealthy:
-      return LogEvent::kServerRestored;
-    case detection::ServerState::kEjected:
-      return LogEvent::kServerEjected;
-    case detection::ServerState::kProbation:
-      return LogEvent::kServerProbation;
-    case detection::ServerState::kLastResort:
-      break;
-  }
-  return LogEvent::kEjectionRefusedByFloor;
-}
-
 /// Takes the servers of one service over from the list.
 void ReplaceServers(Context& context, ServiceState& service) {
   auto known = std::move(service.servers);
@@ -252,7 +238,7 @@
       context.forwarder.actions.emplace_back(ShareEvidence{
           {detection::GoodWord(MakeServiceId(service.terms.name), it.server)}});
     }
-    Log(context, EventOf(it.to),
+    Log(context, detection::EventOf(it.to),
         {{"service", service.terms.name},
          {"server", NameOf(service, it.server)},
          {"reason", it.reason}});
--- a/src/libs/net/http_types.cc
+++ b/src/libs/net/http_types.cc
@@ -29,6 +29,15 @@
                      [&](std::string_view it) { return SameHeader(it, name); });
 }
 
+std::string QueryValue(const std::string& target, const char* name) {
+  evkeyvalq fields{};
+  if (evhttp_parse_query(target.c_str(), &fields) != 0) return "";
+  const char* value = evhttp_find_header(&fields, name);
+  std::string result = value == nullptr ? "" : value;
+  evhttp_clear_headers(&fields);
+  return result;
+}
+
 namespace Internal {
 
 Headers CopyHeaders(const evkeyvalq* fields) {
--- a/src/libs/net/http_types.h
+++ b/src/libs/net/http_types.h
@@ -25,6 +25,9 @@
 /// written by the transport itself.
 bool IsHopByHop(std::string_view name);
 
+/// Value of a parameter in a target's query, decoded; empty when it is missing.
+std::string QueryValue(const std::string& target, const char* name);
+
 namespace Internal {
 
 Headers CopyHeaders(const evkeyvalq* fields);
--- a/tests/auto/platform/store_standin.cc
+++ b/tests/auto/platform/store_standin.cc
@@ -1,8 +1,6 @@
 #include "tests/auto/platform/store_standin.h"
 
 #include <absl/strings/escaping.h>
-#include <event2/http.h>
-#include <event2/keyvalq_struct.h>
 
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -12,15 +10,6 @@
 
 using nlohmann::json;
 
-std::string Parameter(const std::string& target, const char* name) {
-  evkeyvalq fields{};
-  if (evhttp_parse_query(target.c_str(), &fields) != 0) return "";
-  const char* value = evhttp_find_header(&fields, name);
-  std::string result = value == nullptr ? "" : value;
-  evhttp_clear_headers(&fields);
-  return result;
-}
-
 std::uint64_t NumberAfter(const std::string& target, std::size_t at) {
   return std::stoull(target.substr(at));
 }
@@ -70,9 +59,10 @@
   if (target.starts_with("/v1/kv-range?")) return HandleRange(request);
   if (target.starts_with("/v1/kv-watch?")) {
     if (mode_ == Mode::kHistoryLost) return Reply(request.id, 410, "");
-    const Duration wait = Millis(std::stoll(Parameter(target, "wait_ms")));
-    watches_.push_back({request.id, Parameter(target, "prefix"),
-                        std::stoull(Parameter(target, "after")),
+    const Duration wait =
+        Millis(std::stoll(net::QueryValue(target, "wait_ms")));
+    watches_.push_back({request.id, net::QueryValue(target, "prefix"),
+                        std::stoull(net::QueryValue(target, "after")),
                         net::MonotonicNow() + wait});
     return AnswerWatches(false);
   }
@@ -81,7 +71,7 @@
 }
 
 void StoreStandin::HandleRange(const net::HttpRequest& request) {
-  const std::string prefix = Parameter(request.target, "prefix");
+  const std::string prefix = net::QueryValue(request.target, "prefix");
   json items = json::array();
   for (const auto& [key, item] : items_) {
     if (!key.starts_with(prefix)) continue;
