--- a/src/libs/gateway/requests.cc
+++ b/src/libs/gateway/requests.cc
@@ -7,8 +7,9 @@
 namespace ibisladder::gateway::Internal {
 namespace {
 
-/// A request without a deadline of its own gets the route's time-out.
+/// Time in which a start or a lack of servers is usually over.
 constexpr Duration kNotReadyRetryAfter = Millis(500);
+/// Another instance can serve the request at once.
 constexpr Duration kStoppingRetryAfter = Millis(20);
 /// Less time than this is no time for another attempt.
 constexpr Duration kLeastAttemptTime = Millis(30);
@@ -16,6 +17,7 @@
 constexpr std::uint32_t kMostUnopened = 3;
 /// Share of the target latency after which a second server is tried.
 constexpr int kHedgeDivisor = 2;
+/// Between two looks for a second server: room comes and goes that fast.
 constexpr Duration kHedgePause = Millis(100);
 
 constexpr int kStatusNotFound = 404;
