--- a/tests/auto/gateway/server_connections_test.cc
+++ b/tests/auto/gateway/server_connections_test.cc
@@ -5,6 +5,7 @@
 #include <event2/buffer.h>
 #include <event2/listener.h>
 
+#include <csignal>
 #include <optional>
 
 #include "libs/net/socket_address.h"
@@ -25,6 +26,8 @@
   RawServer(net::EventLoop& loop, const Endpoint& endpoint, std::string bytes,
             bool closes)
       : loop_(loop), bytes_(std::move(bytes)), closes_(closes) {
+    // As the daemon does: a peer may close before the answer is written.
+    std::signal(SIGPIPE, SIG_IGN);
     const auto address = net::ToSocketAddress(endpoint);
     listener_ = evconnlistener_new_bind(
         loop.base(), &RawServer::OnAccept, this,
