Let the test's server close only after its answer

Cause: libevent tells of an empty output before anything is written, and the test's server shut its side then; its answer went into a closed connection.

--- a/tests/auto/gateway/server_connections_test.cc
+++ b/tests/auto/gateway/server_connections_test.cc
@@ -58,15 +58,19 @@
     auto& it = *static_cast<RawServer*>(self);
     evbuffer_drain(bufferevent_get_input(bev), 4096);
     bufferevent_write(bev, it.bytes_.data(), it.bytes_.size());
+    it.has_answered_ = true;
   }
   static void OnWritten(bufferevent* bev, void* self) {
     auto& it = *static_cast<RawServer*>(self);
-    if (it.closes_) shutdown(bufferevent_getfd(bev), SHUT_WR);
+    if (it.closes_ && it.has_answered_)
+      shutdown(bufferevent_getfd(bev), SHUT_WR);
   }
 
   net::EventLoop& loop_;
   std::string bytes_;
   bool closes_;
+  /// libevent tells of an empty output before anything is written, too.
+  bool has_answered_ = false;
   evconnlistener* listener_ = nullptr;
   std::vector<bufferevent*> connections_;
 };
