Leave a zone whose servers only fail

Cause: where all servers of an instance's zone turn gray at once, the preference for the zone sent them everything, and the retries that the budget allowed, too.

Change: servers whose last two requests failed are not preferred for their zone; they still compete with all others. RouterTest::LeavesAZoneWhoseServersFail fails without it.

--- a/src/libs/routing/choice.cc
+++ b/src/libs/routing/choice.cc
@@ -69,6 +69,9 @@
   double connection_worth = 0;
   /// Whether a cold server may be the last choice; not within the own zone.
   bool settle_for_cold = true;
+  /// Whether servers that only fail may be chosen; not for their zone alone:
+  /// where all of a zone fail, nothing else would show that others do not.
+  bool take_failing = true;
 };
 
 /// Requests that come often enough keep connections to all servers open by
@@ -93,6 +96,7 @@
 
 bool MayTake(const Search& search, const ServerLoad& server) {
   if (!search.repeat_tried && IsTried(search.demand, server.id)) return false;
+  if (!search.take_failing && IsFailing(server)) return false;
   return HasRoom(server, search.router.warm_up, search.now);
 }
 
@@ -234,6 +238,7 @@
   const bool prefer_own = router.choice.own_zone_room > 0;
   Search near_search = search;
   near_search.settle_for_cold = false;
+  near_search.take_failing = false;
   const auto near = prefer_own
                         ? PickFrom(near_search, router.own_healthy, random)
                         : std::nullopt;
--- a/src/libs/routing/server_load.cc
+++ b/src/libs/routing/server_load.cc
@@ -22,6 +22,9 @@
 /// Doublings of the pause at the most.
 constexpr std::uint8_t kShedDoublings = 2;
 constexpr std::uint8_t kFailureDoublings = 8;
+/// Failures in a row from which a server counts as failing: ordinary errors of
+/// 1 in 100 do that once in 10,000 requests.
+constexpr std::uint8_t kFailuresInRow = 2;
 
 /// Spreads pauses of different servers and times over [0.5, 1.5).
 double Spread(const ServerLoad& server, TimePoint now) {
@@ -48,6 +51,19 @@
   return std::min(EffectiveSlots(server), server.connection_share);
 }
 
+void CountFailure(ServerLoad& server, detection::AttemptEnd end) {
+  if (end == detection::AttemptEnd::kShed ||
+      end == detection::AttemptEnd::kAbandoned) {
+    return;
+  }
+  constexpr std::uint8_t kMost = 255;
+  if (end == detection::AttemptEnd::kOk) {
+    server.failures_in_row = 0;
+  } else if (server.failures_in_row < kMost) {
+    ++server.failures_in_row;
+  }
+}
+
 }  // namespace
 
 void Refresh(ServerLoad& server, const Candidate& candidate, bool own_zone,
@@ -110,8 +126,13 @@
   return server.in_flight == 0 && now - server.answered_at < kConnectionAge;
 }
 
+bool IsFailing(const ServerLoad& server) {
+  return server.failures_in_row >= kFailuresInRow;
+}
+
 void FollowAttempt(ServerLoad& server, detection::AttemptEnd end,
                    Duration mean_latency, TimePoint now) {
+  CountFailure(server, end);
   switch (end) {
     case detection::AttemptEnd::kOk:
       server.pauses_in_row = 0;
--- a/src/libs/routing/server_load.h
+++ b/src/libs/routing/server_load.h
@@ -22,6 +22,8 @@
   bool draining = false;
   bool warming = false;
   std::uint8_t pauses_in_row = 0;
+  /// Requests that failed since the last good answer, clamped.
+  std::uint8_t failures_in_row = 0;
   std::uint16_t slots = 4;
   std::uint16_t reported_slots = 0;
   /// Connections that this instance may have to the server.
@@ -67,6 +69,9 @@
 /// Whether a connection to it is likely to be open and free.
 bool IsConnected(const ServerLoad& server, TimePoint now);
 
+/// Whether its last requests all failed, more than ordinary errors explain.
+bool IsFailing(const ServerLoad& server);
+
 /// Moves the limit and the pause after an attempt ended. Sheds lower the limit
 /// and pause the server for about the time in which a slot gets free.
 void FollowAttempt(ServerLoad& server, detection::AttemptEnd end,
--- a/tests/auto/routing/router_test.cc
+++ b/tests/auto/routing/router_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(FollowsSheds);
   CPPUNIT_TEST(TellsDisplacedCalls);
   CPPUNIT_TEST(PrefersItsZoneAndWarmServers);
+  CPPUNIT_TEST(LeavesAZoneWhoseServersFail);
   CPPUNIT_TEST(PrefersOpenConnections);
   CPPUNIT_TEST_SUITE_END();
 
@@ -150,6 +151,34 @@
     });
   }
 
+  /// All servers of the own zone turn gray at once.
+  void LeavesAZoneWhoseServersFail() {
+    Use(MakeServers(2, 2));
+    std::uint64_t call = 0;
+    const auto goes_elsewhere = [&](AttemptEnd end_here) {
+      const auto server = ServerOf(PlaceCall(++call));
+      const bool is_here = server == servers_[0].id || server == servers_[1].id;
+      End(server, is_here ? end_here : AttemptEnd::kOk);
+      return !is_here;
+    };
+    const auto count_elsewhere = [&](AttemptEnd end_here) {
+      int count = 0;
+      for (int n = 0; n < 100; ++n) count += goes_elsewhere(end_here) ? 1 : 0;
+      return count;
+    };
+    Section("while its own zone answers, an instance stays there",
+            [&] { CPPUNIT_ASSERT_EQUAL(0, count_elsewhere(AttemptEnd::kOk)); });
+    for (const AttemptEnd it :
+         {AttemptEnd::kError, AttemptEnd::kCorrupt, AttemptEnd::kTimeout}) {
+      Section("where all servers fail, others are asked as often",
+              [&] { CPPUNIT_ASSERT(count_elsewhere(it) >= 25); });
+      Section("and the zone is preferred again once it answers", [&] {
+        count_elsewhere(AttemptEnd::kOk);
+        CPPUNIT_ASSERT_EQUAL(0, count_elsewhere(AttemptEnd::kOk));
+      });
+    }
+  }
+
   void PrefersOpenConnections() {
     Use(MakeServers(8, 0));
     TimePoint now = kStart;
