Probe servers that owe an answer, and miss none while nothing is asked

Work that may run once leaves a server that owes an answer, so each instance has one request there, held 11 s; two of them weigh less than an ejection needs. Besides, the first request after a pause counted as sent while the whole service was silent: silence was taken from the last good answer, also while nothing was asked.

Change: a server in service whose requests in flight are older than one in 300 healthy ones is probed once a second; a probe without an answer weighs as a request that timed out, an answered one clears nobody. Silence runs from when requests have been in flight without a pause. The gateway's pace leaves probes out: its instances share what they see at once.

Ruled out: lowering the threshold (more false ejections for all), weighing a longer age more (an answer that is lost once says no more after a minute).

--- a/src/libs/callerpath/housekeeping.cc
+++ b/src/libs/callerpath/housekeeping.cc
@@ -175,7 +175,13 @@
   const auto it = path.service_of_server.find(event.server);
   if (it == path.service_of_server.end()) return;
   ServiceState& service = path.services.at(it->second);
-  detection::ProbeEnded(*service.detector, event.server, event.ok, context.now);
+  if (event.unanswered_for) {
+    detection::ProbeUnanswered(*service.detector, event.server,
+                               *event.unanswered_for, context.now);
+  } else {
+    detection::ProbeEnded(*service.detector, event.server, event.ok,
+                          context.now);
+  }
   if (event.draining || event.ok) {
     NoteDraining(context, event.server, event.draining);
   }
--- a/src/libs/callerpath/messages.h
+++ b/src/libs/callerpath/messages.h
@@ -98,6 +98,9 @@
   bool ok = false;
   /// The server's own word that it drains.
   bool draining = false;
+  /// How long an answer was waited for in vain; none if there was one, or the
+  /// connection failed.
+  std::optional<Duration> unanswered_for;
 };
 /// A caller asks for the outcome of a request id; `settle`: one that has not
 /// been dispatched by now never will be.
--- a/src/libs/detection/detector.cc
+++ b/src/libs/detection/detector.cc
@@ -35,6 +35,9 @@
 /// Evidence of a failed probe, nats: health endpoints mislead.
 constexpr float kBadProbe = 0.5F;
 constexpr float kBadProbeOnProbation = 4;
+/// Evidence of requests in flight that makes a suspect, nats: about one in 300
+/// healthy requests takes as long.
+constexpr float kSuspectInFlight = 4;
 
 Server* FindServer(Detector& detector, BackendServerId id) {
   const auto it = detector.indexes.find(id);
@@ -178,6 +181,25 @@
           scored.answered_failures >= scored.own};
 }
 
+/// Whether the server owes an answer for unusually long, and probing may tell
+/// more.
+bool IsSuspect(const Detector& detector, const Server& server, TimePoint now) {
+  if (!detector.pace.probes_suspects || server.in_flight.empty()) return false;
+  const bool is_serving = server.state == ServerState::kHealthy ||
+                          server.state == ServerState::kLastResort;
+  return is_serving && now >= server.suspect_probe_at &&
+         ScoreOf(detector, server, now).in_flight >= kSuspectInFlight;
+}
+
+bool WantsProbe(const Detector& detector, const Server& server, TimePoint now) {
+  if (server.member.leaving) return false;
+  if (server.state != ServerState::kProbation) {
+    return IsSuspect(detector, server, now);
+  }
+  return !detector.has_idempotent_work && !detector.pace.tries_any_work &&
+         now >= server.next;
+}
+
 }  // namespace
 
 LogEvent EventOf(ServerState state) {
@@ -252,6 +274,7 @@
   if (it == nullptr) return;
   if (!detector.attempts.emplace(attempt, server).second) return;
   it->in_flight.push_back({attempt, now});
+  if (!detector.recent.waiting_since) detector.recent.waiting_since = now;
   Activate(detector, *it);
 }
 
@@ -261,6 +284,7 @@
   if (known == detector.attempts.end()) return;
   Server* server = FindServer(detector, known->second);
   detector.attempts.erase(known);
+  if (detector.attempts.empty()) detector.recent.waiting_since.reset();
   if (server == nullptr) return;
   const auto it = std::find_if(
       server->in_flight.begin(), server->in_flight.end(),
@@ -278,6 +302,7 @@
   if (it == nullptr || it->member.leaving) return;
   const bool is_probation = it->state == ServerState::kProbation;
   it->next = is_probation ? now + kProbeInterval : it->next;
+  it->suspect_probe_at = now + kProbeInterval;
   if (!ok) {
     Internal::Fade(it->own, now, FadeTime(detector, *it, now));
     const float weight = is_probation ? kBadProbeOnProbation : kBadProbe;
@@ -291,6 +316,26 @@
   }
 }
 
+void ProbeUnanswered(Detector& detector, BackendServerId server,
+                     Duration waited, TimePoint now) {
+  Server* it = FindServer(detector, server);
+  if (it == nullptr || it->member.leaving) return;
+  if (it->state == ServerState::kProbation) {
+    ProbeEnded(detector, server, false, now);
+    return;
+  }
+  it->suspect_probe_at = now + kProbeInterval;
+  // While nothing is heard from any server, the instance's own link is at
+  // fault.
+  if (now - waited <= detector.recent.silent_at) return;
+  Internal::Fade(it->own, now, FadeTime(detector, *it, now));
+  Internal::Add(it->own,
+                Internal::JudgeEnd(detector.norm, AttemptEnd::kTimeout, waited,
+                                   waited, 0),
+                LeastSum(detector, *it));
+  Activate(detector, *it);
+}
+
 void MergePeerDigests(Detector& detector, InstanceId peer,
                       std::span<const Digest> digests, TimePoint now) {
   detector.peers[peer] = now;
@@ -332,11 +377,9 @@
 std::vector<BackendServerId> ProbesDue(const Detector& detector,
                                        TimePoint now) {
   std::vector<BackendServerId> due;
-  if (detector.has_idempotent_work || detector.pace.tries_any_work) return due;
   for (const auto index : detector.active) {
     const Server& it = detector.servers[index];
-    if (it.state != ServerState::kProbation || it.member.leaving) continue;
-    if (now >= it.next) due.push_back(it.member.id);
+    if (WantsProbe(detector, it, now)) due.push_back(it.member.id);
   }
   return due;
 }
--- a/src/libs/detection/detector.h
+++ b/src/libs/detection/detector.h
@@ -119,6 +119,10 @@
   /// Whether the norm learns from work that is cut while it runs: without it
   /// no latency beyond a route's time-out is ever seen.
   bool learns_cut_latencies = false;
+  /// Whether a server that owes an answer for unusually long is probed. Work
+  /// that may run once only moves away from it, so that nothing else would tell
+  /// a lost answer from a server that is not heard.
+  bool probes_suspects = true;
 };
 
 /// Detection state of one service; made by MakeDetector.
@@ -149,6 +153,10 @@
                   TimePoint now);
 void ProbeEnded(Detector& detector, BackendServerId server, bool ok,
                 TimePoint now);
+/// A probe got no answer within `waited`. Tells of the path as a request does
+/// that timed out.
+void ProbeUnanswered(Detector& detector, BackendServerId server,
+                     Duration waited, TimePoint now);
 /// A peer's latest word, which replaces its previous one. Capped trust.
 void MergePeerDigests(Detector& detector, InstanceId peer,
                       std::span<const Digest> digests, TimePoint now);
@@ -166,7 +174,8 @@
 
 /// kEjected for a server that is no member.
 ServerState StateOf(const Detector& detector, BackendServerId server);
-/// Servers that want a probe now (probation without idempotent work).
+/// Servers that want a probe now: on probation without idempotent work, or
+/// suspects (see Pace).
 std::vector<BackendServerId> ProbesDue(const Detector& detector, TimePoint now);
 /// The most telling digests of this instance's own evidence, at most `limit`.
 std::vector<Digest> OwnDigests(const Detector& detector, ServiceId service,
--- a/src/libs/detection/detector_state.h
+++ b/src/libs/detection/detector_state.h
@@ -54,8 +54,10 @@
   TimePoint since;
   /// Until then slowness is judged leniently.
   TimePoint warm_until;
-  /// End of the ejection, or time of the last probe.
+  /// End of the ejection, or time of the next probe on probation.
   TimePoint next;
+  /// Before it no probe is due while in service.
+  TimePoint suspect_probe_at;
   /// When it was last ejected or restored; relapses fade from there.
   TimePoint relapse_from;
   /// When a peer's word last prolonged the ejection.
--- a/src/libs/detection/recent_answers.cc
+++ b/src/libs/detection/recent_answers.cc
@@ -70,7 +70,9 @@
 }
 
 bool StillAnswers(const RecentAnswers& recent, TimePoint now) {
-  const Duration silence = now - recent.last_ok;
+  if (!recent.waiting_since) return true;
+  const Duration silence =
+      now - std::max(recent.last_ok, *recent.waiting_since);
   return silence <= kLeastSilence ||
          ToSeconds(silence) <= kSilentIntervals * recent.ok_interval_s;
 }
--- a/src/libs/detection/recent_answers.h
+++ b/src/libs/detection/recent_answers.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 #include "libs/base/strong_types.h"
 #include "libs/base/time.h"
@@ -28,6 +29,9 @@
   /// Median of the good ones' latencies, microseconds; 0 while too few.
   float median_us = 0;
   TimePoint last_ok;
+  /// Since when there have been requests in flight all the while; none: there
+  /// are none, and no answer is missed.
+  std::optional<TimePoint> waiting_since;
   /// When the service as a whole last was silent.
   TimePoint silent_at;
   /// Mean time between good answers, seconds.
@@ -42,7 +46,7 @@
 double FailureShareOfOthers(const RecentAnswers& recent,
                             BackendServerId server);
 
-/// Whether good answers still come about as often as usual.
+/// Whether good answers still come about as often as usual, or none is due.
 bool StillAnswers(const RecentAnswers& recent, TimePoint now);
 
 }  // namespace ibisladder::detection::Internal
--- a/src/libs/gateway/services.cc
+++ b/src/libs/gateway/services.cc
@@ -37,6 +37,8 @@
   pace.warming_serves = true;
   pace.weighs_answered = true;
   pace.learns_cut_latencies = true;
+  // Several instances see what it owes within a second; probes take its slots.
+  pace.probes_suspects = false;
   return pace;
 }
 
--- a/src/plugins/caller/caller_task.cc
+++ b/src/plugins/caller/caller_task.cc
@@ -181,7 +181,11 @@
 }
 
 void CallerTask::OnProbeError(const net::HttpError& error) {
-  StepPath(callerpath::ProbeEnded{BackendServerId(error.id), false, false});
+  callerpath::ProbeEnded ended{BackendServerId(error.id)};
+  if (error.failure == net::HttpFailure::kTimeout) {
+    ended.unanswered_for = kProbeTimeout;
+  }
+  StepPath(std::move(ended));
 }
 
 void CallerTask::OnMessage(tasks::CallerMessage& message) {
--- a/src/tools/experiment/emulator.cc
+++ b/src/tools/experiment/emulator.cc
@@ -22,6 +22,7 @@
 constexpr Duration kTickInterval = Millis(100);
 constexpr Duration kExchangeInterval = Millis(500);
 constexpr Duration kProbeTime = Millis(25);
+constexpr Duration kProbeTimeout = Seconds(1);
 constexpr double kDatagramLoss = 0.02;
 constexpr std::size_t kDigestLimit = 20;
 constexpr std::size_t kQueueLimit = 12;
@@ -153,10 +154,13 @@
     Apply(emulator, instance,
           [&] { Tick(instance.policy, emulator.now, emulator.random); });
     if (!instance.policy.detector) continue;
-    for (const auto& server :
+    for (const auto& id :
          detection::ProbesDue(*instance.policy.detector, emulator.now)) {
-      Schedule(emulator, emulator.now + kProbeTime, EventKind::kProbe, i,
-               static_cast<int>(server.value() - 1));
+      const int server = static_cast<int>(id.value() - 1);
+      if (!instance.probed.insert(server).second) continue;
+      const bool is_lost = AnswerIsLost(emulator, static_cast<int>(i), server);
+      Schedule(emulator, emulator.now + (is_lost ? kProbeTimeout : kProbeTime),
+               EventKind::kProbe, i, server);
     }
   }
 }
@@ -180,10 +184,16 @@
 }
 
 void OnProbe(Emulator& emulator, std::uint64_t instance, int server) {
-  const bool ok = emulator.backends[server].live &&
-                  !AnswerIsLost(emulator, static_cast<int>(instance), server);
-  detection::ProbeEnded(*emulator.instances[instance].policy.detector,
-                        ServerIdOf(server), ok, emulator.now);
+  Instance& prober = emulator.instances[instance];
+  prober.probed.erase(server);
+  detection::Detector& detector = *prober.policy.detector;
+  if (AnswerIsLost(emulator, static_cast<int>(instance), server)) {
+    detection::ProbeUnanswered(detector, ServerIdOf(server), kProbeTimeout,
+                               emulator.now);
+  } else {
+    detection::ProbeEnded(detector, ServerIdOf(server),
+                          emulator.backends[server].live, emulator.now);
+  }
 }
 
 void OnPause(Emulator& emulator, int server) {
--- a/src/tools/experiment/emulator_state.h
+++ b/src/tools/experiment/emulator_state.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <functional>
 #include <queue>
+#include <set>
 #include <vector>
 
 #include "tools/experiment/backends.h"
@@ -77,6 +78,8 @@
   TimePoint last_sent_sick;
   bool has_ejected_sick = false;
   double retry_tokens = kMostRetryTokens;
+  /// Servers whose probe is under way.
+  std::set<int> probed;
 };
 
 struct Emulator {
--- a/tests/auto/detection/detector_test.cc
+++ b/tests/auto/detection/detector_test.cc
@@ -26,6 +26,15 @@
   });
 }
 
+/// The other servers get all the work.
+void RunWithoutFirst(Pool& pool, Duration time) {
+  const Member first = pool.members.front();
+  pool.members.erase(pool.members.begin());
+  RunTraffic(pool, time, kRate,
+             [&](auto) { return HealthyAnswer(pool.random); });
+  pool.members.insert(pool.members.begin(), first);
+}
+
 ServerState StateOfFirst(const Pool& pool) {
   return StateOf(*pool.detector, Id(1));
 }
@@ -42,6 +51,8 @@
   CPPUNIT_TEST(FloorGivesLastResort);
   CPPUNIT_TEST(WayBackLeadsThroughProbation);
   CPPUNIT_TEST(ServiceWithoutIdempotentWorkIsProbed);
+  CPPUNIT_TEST(SilentServerWithOneRequestAtATimeIsEjected);
+  CPPUNIT_TEST(FirstRequestAfterAPauseCounts);
   CPPUNIT_TEST(PeersAddEvidence);
   CPPUNIT_TEST(WordStandsUntilPeersHaveHeard);
   CPPUNIT_TEST(RepairedLinkLeavesNoBlame);
@@ -154,6 +165,61 @@
     });
   }
 
+  /// Work that may run once only waits for an answer that never comes, and the
+  /// other work avoids the server meanwhile.
+  void SilentServerWithOneRequestAtATimeIsEjected() {
+    Section("one of the requests at a server gets no answer", [] {
+      Pool pool = MakeSeasonedPool();
+      AttemptStarted(*pool.detector, Id(1), AttemptId(1000000), pool.now);
+      RunWithoutFirst(pool, Seconds(1));
+      Section("and it is probed", [&] {
+        CPPUNIT_ASSERT(ProbesDue(*pool.detector, pool.now) ==
+                       std::vector<BackendServerId>{Id(1)});
+      });
+      Section("a probe that is answered leaves it in service", [&] {
+        ProbeEnded(*pool.detector, Id(1), true, pool.now);
+        RunWithoutFirst(pool, Millis(500));
+        CPPUNIT_ASSERT(ProbesDue(*pool.detector, pool.now).empty());
+        CPPUNIT_ASSERT(StateOfFirst(pool) == ServerState::kHealthy);
+      });
+      Section("probes that nobody answers have it ejected within 20 s", [&] {
+        for (int i = 0; i < 6; ++i) {
+          RunWithoutFirst(pool, Seconds(2));
+          if (!ProbesDue(*pool.detector, pool.now).empty()) {
+            ProbeUnanswered(*pool.detector, Id(1), Seconds(1), pool.now);
+          }
+        }
+        CPPUNIT_ASSERT(StateOfFirst(pool) != ServerState::kHealthy);
+      });
+    });
+    Section("probes while no server is heard tell nothing", [] {
+      Pool pool = MakeSeasonedPool();
+      AttemptStarted(*pool.detector, Id(1), AttemptId(1000000), pool.now);
+      for (int i = 0; i < 20; ++i) {
+        pool.now += Seconds(1);
+        EvaluateNow(pool);
+        ProbeUnanswered(*pool.detector, Id(1), Seconds(1), pool.now);
+      }
+      CPPUNIT_ASSERT(StateOfFirst(pool) == ServerState::kHealthy);
+    });
+  }
+
+  /// No answer is missed while nothing is asked.
+  void FirstRequestAfterAPauseCounts() {
+    Section("after a minute without work the first request goes", [] {
+      Pool pool = MakeSeasonedPool();
+      RunTraffic(pool, Seconds(60), 0, [](auto) { return Answer{}; });
+      Section("to a server that never answers, the next ones elsewhere", [&] {
+        AttemptStarted(*pool.detector, Id(1), AttemptId(1000000), pool.now);
+        RunWithoutFirst(pool, Seconds(1));
+        const auto digests =
+            OwnDigests(*pool.detector, ServiceId(1), 1, pool.now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, digests.size());
+        CPPUNIT_ASSERT(digests[0].server == Id(1));
+      });
+    });
+  }
+
   void PeersAddEvidence() {
     Section("several peers convince an instance without traffic", [] {
       Pool pool = MakeSeasonedPool();
