Let instances that callers are not sent to save up no second attempts

Each of 32 instances had a full part of the slack, shared out over the 12 in use.

Change: an instance that the directory does not hand out keeps one second attempt, and earns it by its own requests. HeavyDaysTest::StragglersAtManyIdleInstancesKeepTheBudget fails without it.

--- a/src/libs/gateway/directory.cc
+++ b/src/libs/gateway/directory.cc
@@ -36,6 +36,13 @@
   return result;
 }
 
+FleetShare ShareOf(std::span<const Member> members, const std::string& name,
+                   const DirectorySettings& settings) {
+  const auto used = InUse(members, settings);
+  return {used.size(),
+          std::ranges::find(used, name, &Member::name) != used.end()};
+}
+
 std::vector<Endpoint> AddressesFor(std::span<const Member> members,
                                    const ZoneName& zone,
                                    const DirectorySettings& settings) {
--- a/src/libs/gateway/directory.h
+++ b/src/libs/gateway/directory.h
@@ -42,6 +42,21 @@
 std::vector<Member> InUse(std::span<const Member> members,
                           const DirectorySettings& settings);
 
+/// This instance's part of the fleet.
+struct FleetShare {
+  /// Instances that callers are sent to: they share servers and retries.
+  std::size_t instances = 1;
+  /// Whether this one is among them. What arrives at others is too little to
+  /// save up second attempts for.
+  bool is_in_use = true;
+
+  bool operator==(const FleetShare&) const = default;
+};
+
+/// The share of the member `name`.
+FleetShare ShareOf(std::span<const Member> members, const std::string& name,
+                   const DirectorySettings& settings);
+
 /// Addresses for a caller in `zone`.
 std::vector<Endpoint> AddressesFor(std::span<const Member> members,
                                    const ZoneName& zone,
--- a/src/libs/gateway/forwarder.cc
+++ b/src/libs/gateway/forwarder.cc
@@ -101,9 +101,10 @@
   PumpQueues(context);
 }
 
-void SetFleetSize(Forwarder& forwarder, std::size_t instances, TimePoint now) {
-  if (forwarder.fleet_size == instances) return;
-  forwarder.fleet_size = instances;
+void SetFleetShare(Forwarder& forwarder, const FleetShare& share,
+                   TimePoint now) {
+  if (forwarder.fleet_share == share) return;
+  forwarder.fleet_share = share;
   Context context{forwarder, now};
   if (!forwarder.routes) return;
   for (auto& [id, service] : forwarder.services) {
--- a/src/libs/gateway/forwarder.h
+++ b/src/libs/gateway/forwarder.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "libs/gateway/configuration.h"
+#include "libs/gateway/directory.h"
 #include "libs/gateway/messages.h"
 #include "libs/metrics/families.h"
 
@@ -71,8 +72,8 @@
 /// Replaces the list of servers; known incarnations keep their state.
 void SetServers(Forwarder& forwarder, std::span<const ServerEntry> entries,
                 TimePoint now);
-/// Instances that callers are sent to: they share servers and retries.
-void SetFleetSize(Forwarder& forwarder, std::size_t instances, TimePoint now);
+void SetFleetShare(Forwarder& forwarder, const FleetShare& share,
+                   TimePoint now);
 /// New requests are refused from now on.
 void StopAccepting(Forwarder& forwarder);
 
--- a/src/libs/gateway/forwarder_state.h
+++ b/src/libs/gateway/forwarder_state.h
@@ -71,7 +71,7 @@
   ForwarderSettings settings;
   Random random;
   std::optional<RouteTable> routes;
-  std::size_t fleet_size = 1;
+  FleetShare fleet_share;
   bool is_stopping = false;
   std::vector<ServerEntry> entries;
   std::unordered_map<ServiceId, Internal::ServiceState> services;
--- a/src/libs/gateway/services.cc
+++ b/src/libs/gateway/services.cc
@@ -88,8 +88,10 @@
 
 /// Second attempts are shared out over the instances that callers use.
 routing::RetryAllowance AllowanceOf(const Forwarder& forwarder) {
-  const std::size_t instances = std::max<std::size_t>(forwarder.fleet_size, 1);
-  const std::size_t burst = forwarder.settings.retry_slack / instances;
+  const auto& [instances, is_in_use] = forwarder.fleet_share;
+  const std::size_t burst = is_in_use ? forwarder.settings.retry_slack /
+                                            std::max<std::size_t>(instances, 1)
+                                      : 1;
   routing::RetryAllowance allowance;
   allowance.percent = forwarder.settings.retry_percent;
   allowance.burst =
@@ -198,8 +200,8 @@
     it.warm_since = server.warm_since;
     candidates.push_back(std::move(it));
   }
-  routing::SetCandidates(*service.router, candidates, forwarder.fleet_size,
-                         context.now);
+  routing::SetCandidates(*service.router, candidates,
+                         forwarder.fleet_share.instances, context.now);
   routing::SetRetryAllowance(*service.router, AllowanceOf(forwarder));
 }
 
--- a/src/plugins/fleet/fleet_task.cc
+++ b/src/plugins/fleet/fleet_task.cc
@@ -340,7 +340,8 @@
   members_ = std::move(members);
   Log(LogEvent::kMembersChanged,
       {{"members", std::to_string(members_.size())}});
-  in_use_changed_.emit(gateway::InUse(members_, options_.directory).size());
+  share_changed_.emit(
+      gateway::ShareOf(members_, options_.self.name, options_.directory));
 }
 
 void FleetTask::ShareEvidence(const std::vector<detection::Digest>& digests) {
--- a/src/plugins/gateway/gateway_task.cc
+++ b/src/plugins/gateway/gateway_task.cc
@@ -89,8 +89,8 @@
   Perform();
 }
 
-void GatewayTask::SetFleetSize(std::size_t instances) {
-  gateway::SetFleetSize(*forwarder_, instances, net::MonotonicNow());
+void GatewayTask::SetFleetShare(const FleetShare& share) {
+  gateway::SetFleetShare(*forwarder_, share, net::MonotonicNow());
   Perform();
 }
 
--- a/tests/auto/gateway/heavy_days_test.cc
+++ b/tests/auto/gateway/heavy_days_test.cc
@@ -80,6 +80,7 @@
   CPPUNIT_TEST(PeersWordSavesTheFirstRequest);
   CPPUNIT_TEST(WholeServiceDeclinesPart);
   CPPUNIT_TEST(SlowReadsLeaveBudgetForDeclines);
+  CPPUNIT_TEST(StragglersAtManyIdleInstancesKeepTheBudget);
   CPPUNIT_TEST(MoreWorkThanSlots);
   CPPUNIT_TEST_SUITE_END();
 
@@ -176,6 +177,28 @@
     CPPUNIT_ASSERT_EQUAL(2, AttemptsOf(path, call));
   }
 
+  /// A few requests arrive at each of twenty instances that callers are not
+  /// sent to, while the service declines everything.
+  void StragglersAtManyIdleInstancesKeepTheBudget() {
+    ForwarderSettings settings;
+    settings.retry_percent = 18;
+    settings.retry_slack = 50;
+    std::size_t requests = 0;
+    std::size_t again = 0;
+    for (int i = 0; i < 20; ++i) {
+      Day day{MakePath(8, settings)};
+      SetFleetShare(*day.path.forwarder, {12, false}, day.path.now);
+      day.declines = [](const auto&) { return true; };
+      day.Run(Seconds(10), 50);
+      requests += day.path.last_call;
+      again += day.path.sent.size() - day.path.last_call;
+    }
+    Section("each of them makes one second attempt, not its part of all", [&] {
+      CPPUNIT_ASSERT(requests >= 100);
+      CPPUNIT_ASSERT(again <= requests / 5 + 20);
+    });
+  }
+
   void MoreWorkThanSlots() {
     Day day{MakePath(2)};
     // Two servers of four slots do 26 requests a second; 40 come.
