Explain a request and count the unserved from the logs

ibisladder explain REQUEST-ID LOG... puts the lines of one request in order and tells what the instance believed of the server then, how old that was, what other instances found out soon after, and the cause. ibisladder summary LOG... counts unserved requests by cause. Damaged and cut lines are passed over and counted.

--- a/src/tools/ibisladder/commands.cc
+++ b/src/tools/ibisladder/commands.cc
@@ -9,7 +9,7 @@
 namespace ibisladder::tool {
 namespace {
 
-constexpr std::array<Command, 10> kCommands = {{
+constexpr std::array<Command, 12> kCommands = {{
     {"validate", "FILE", "checks declarations, changes nothing",
      R"(Checks a declarations file in full and lists every error with its place as a
 JSON pointer and what would be right. Needs no instance; with --endpoint the
@@ -88,6 +88,24 @@
   ibisladder undrain instance --endpoint 10.0.0.7:7003
 )",
      EndpointNeed::kExactlyOne, RunUndrainInstance},
+    {"explain", "REQUEST-ID LOG...", "what happened to one request, and why",
+     R"(Reads the logs of the platform's entry instances and tells what happened to
+one request in order of time: where it was sent, what was known of that server
+then and since when, what failed, and the cause of its final answer. Damaged
+lines are passed over. LOG may be "-", the standard input. Machines' clocks may
+differ.
+
+  ibisladder explain 9c41d07be2a35f68 edge-1.log edge-2.log
+)",
+     EndpointNeed::kNone, RunExplain},
+    {"summary", "LOG...", "counts requests that were not served, by cause",
+     R"(Reads the logs of the platform's entry instances and counts the requests that
+were not served, by cause, and those that were sent again, by reason. Lines that
+the instances left out under load are told on the standard error output.
+
+  ibisladder summary edge-*.log
+)",
+     EndpointNeed::kNone, RunSummary},
     {"version", "", "version of the tool, and of an instance",
      R"(Prints the tool's version; with --endpoint that of the instance too.
 
@@ -133,14 +151,16 @@
 
 /// Empty when operands and options suit the command.
 std::string UsageFault(const Command& command, const Invocation& invocation) {
-  const std::size_t wanted = command.operand.empty() ? 0 : 1;
+  const std::size_t wanted =
+      command.operand.empty() ? 0 : WordCount(command.operand);
+  const bool takes_more = command.operand.ends_with("...");
   const auto& [options, operands] = invocation;
   const std::string name(command.name);
   if (operands.size() < wanted) {
     return name + " needs " + std::string(command.operand) +
            "; see `ibisladder help " + name + "`";
   }
-  if (operands.size() > wanted) {
+  if (operands.size() > wanted && !takes_more) {
     return name + " does not take \"" + operands[wanted] +
            "\"; see `ibisladder help " + name + "`";
   }
--- a/src/tools/ibisladder/commands.h
+++ b/src/tools/ibisladder/commands.h
@@ -23,6 +23,8 @@
 ExitCode RunDrainInstance(const Invocation& invocation, const Environment& env);
 ExitCode RunUndrainInstance(const Invocation& invocation,
                             const Environment& env);
+ExitCode RunExplain(const Invocation& invocation, const Environment& env);
+ExitCode RunSummary(const Invocation& invocation, const Environment& env);
 ExitCode RunVersion(const Invocation& invocation, const Environment& env);
 
 /// Endpoints that a command needs.
@@ -31,7 +33,8 @@
 struct Command {
   /// One or two words, such as "drain server".
   std::string_view name;
-  /// Names of the operands; empty when there are none.
+  /// Names of the operands; empty when there are none. "..." at the end: the
+  /// last one may be repeated.
   std::string_view operand;
   std::string_view summary;
   /// Explanation with examples, for `ibisladder help NAME`.
--- /dev/null
+++ b/src/tools/ibisladder/log_commands.cc
@@ -0,0 +1,110 @@
+#include "tools/ibisladder/commands.h"
+#include "tools/ibisladder/failure_cause.h"
+#include "tools/ibisladder/report.h"
+#include "tools/ibisladder/request_story.h"
+#include "tools/ibisladder/table.h"
+
+namespace ibisladder::tool {
+namespace {
+
+Expected<LogRecords> ReadFiles(const Environment& env,
+                               std::span<const std::string> paths) {
+  std::vector<LogText> logs;
+  for (const auto& it : paths) {
+    auto text = env.read_file(it);
+    if (!text) return tl::unexpected(text.error());
+    logs.push_back({it, std::move(*text)});
+  }
+  return ReadLogs(logs);
+}
+
+/// What the logs lack, if anything.
+void TellGaps(const Environment& env, const LogRecords& logs) {
+  if (logs.unreadable > 0) {
+    env.err << "ibisladder: " << logs.unreadable
+            << " lines are no log records and were passed over\n";
+  }
+  if (logs.dropped > 0) {
+    env.err << "ibisladder: the instances left out " << logs.dropped
+            << " lines under load\n";
+  }
+}
+
+json::OrderedJson CountsJson(const std::map<std::string, std::size_t>& counts) {
+  json::OrderedJson object = json::OrderedJson::object();
+  for (const auto& [name, count] : counts) object[name] = count;
+  return object;
+}
+
+void PrintSummaryJson(const Environment& env, const LogRecords& logs,
+                      const UnservedSummary& summary) {
+  json::OrderedJson document;
+  document["requests"] = summary.requests;
+  document["served"] = summary.served;
+  document["served_after_retry"] = summary.served_after_retry;
+  document["unserved_by_cause"] = CountsJson(summary.by_cause);
+  document["unknown_cause"] = summary.unknown;
+  document["retries_by_reason"] = CountsJson(summary.retries);
+  document["unreadable_lines"] = logs.unreadable;
+  document["dropped_lines"] = logs.dropped;
+  PrintJson(env, document);
+}
+
+std::string CountTable(const std::string& heading,
+                       const std::map<std::string, std::size_t>& counts) {
+  std::vector<std::pair<std::size_t, std::string>> order;
+  for (const auto& [name, count] : counts) order.emplace_back(count, name);
+  std::ranges::sort(order, std::greater<>());
+  std::vector<TableRow> rows = {{"REQUESTS", heading}};
+  for (const auto& [count, name] : order) {
+    rows.push_back({std::to_string(count), name});
+  }
+  return FormatTable(rows);
+}
+
+}  // namespace
+
+ExitCode RunExplain(const Invocation& invocation, const Environment& env) {
+  const bool as_json = invocation.options.json;
+  const std::string& id = invocation.operands[0];
+  const auto logs = ReadFiles(env, std::span(invocation.operands).subspan(1));
+  if (!logs) return ReportError(env, as_json, logs.error());
+  TellGaps(env, *logs);
+  const auto story = TellRequest(*logs, id);
+  if (!story) {
+    return ReportError(
+        env, as_json,
+        {ResultCode::kNotFound, id, "no record in these logs names it"});
+  }
+  if (as_json) {
+    json::OrderedJson document;
+    document["request"] = id;
+    document["story"] = *story;
+    PrintJson(env, document);
+  } else {
+    env.out << *story;
+  }
+  return ExitCode::kOk;
+}
+
+ExitCode RunSummary(const Invocation& invocation, const Environment& env) {
+  const auto logs = ReadFiles(env, invocation.operands);
+  if (!logs) {
+    return ReportError(env, invocation.options.json, logs.error());
+  }
+  TellGaps(env, *logs);
+  const UnservedSummary summary = Summarise(*logs);
+  if (invocation.options.json) {
+    PrintSummaryJson(env, *logs, summary);
+    return ExitCode::kOk;
+  }
+  env.out << summary.requests << " requests, " << summary.served
+          << " served, of them " << summary.served_after_retry
+          << " after another attempt; " << summary.unknown
+          << " of unknown cause\n\n"
+          << CountTable("NOT SERVED BECAUSE", summary.by_cause) << "\n"
+          << CountTable("SENT AGAIN BECAUSE", summary.retries);
+  return ExitCode::kOk;
+}
+
+}  // namespace ibisladder::tool
