--- a/src/tools/ibisladder/failure_cause.cc
+++ b/src/tools/ibisladder/failure_cause.cc
@@ -15,10 +15,46 @@
 
 struct Request {
   bool was_retried = false;
+  bool was_lost = false;
   /// Null: none was found.
   const LogRecord* final_record = nullptr;
 };
 
+/// By id, and by the instance that last wrote of them.
+struct Requests {
+  std::map<std::string_view, Request> by_id;
+  std::map<std::string_view, std::vector<Request*>> by_source;
+};
+
+/// A process has started again: what the one before it held is lost.
+void LoseRequestsOf(std::string_view source, Requests& requests) {
+  for (Request* it : requests.by_source[source]) {
+    it->was_lost = it->final_record == nullptr;
+  }
+  requests.by_source.erase(source);
+}
+
+void Follow(const LogRecord& record, UnservedSummary& summary,
+            Requests& requests) {
+  const std::string_view id = FieldOf(record, "request");
+  if (id.empty()) return;
+  Request& request = requests.by_id[id];
+  requests.by_source[record.source].push_back(&request);
+  if (record.event == LogEvent::kCallRetried) {
+    request.was_retried = true;
+    ++summary.retries[KindOf(FieldOf(record, "reason"))];
+  }
+  // An answer that the caller did not wait for is no final one.
+  const bool was_left = request.final_record != nullptr &&
+                        request.final_record->event == LogEvent::kCallCancelled;
+  if (IsFinal(record) && !was_left) request.final_record = &record;
+}
+
+std::string CauseOf(const Request& request) {
+  if (request.final_record != nullptr) return CauseOf(*request.final_record);
+  return request.was_lost ? std::string(kInstanceEnded) : "";
+}
+
 }  // namespace
 
 bool IsFinal(const LogRecord& record) {
@@ -57,30 +93,21 @@
 
 UnservedSummary Summarise(const LogRecords& logs) {
   UnservedSummary summary;
-  std::map<std::string_view, Request> requests;
+  Requests requests;
   for (const auto& it : logs.records) {
-    const std::string_view id = FieldOf(it, "request");
-    if (id.empty()) continue;
-    Request& request = requests[id];
-    if (it.event == LogEvent::kCallRetried) {
-      request.was_retried = true;
-      ++summary.retries[KindOf(FieldOf(it, "reason"))];
+    if (it.event == LogEvent::kProcessStarted) {
+      LoseRequestsOf(it.source, requests);
     }
-    // An answer that the caller did not wait for is no final one.
-    const bool was_left =
-        request.final_record != nullptr &&
-        request.final_record->event == LogEvent::kCallCancelled;
-    if (IsFinal(it) && !was_left) request.final_record = &it;
+    Follow(it, summary, requests);
   }
-  summary.requests = requests.size();
-  for (const auto& [id, it] : requests) {
+  summary.requests = requests.by_id.size();
+  for (const auto& [id, it] : requests.by_id) {
     if (it.final_record != nullptr && IsServed(*it.final_record)) {
       ++summary.served;
       summary.served_after_retry += it.was_retried ? 1 : 0;
       continue;
     }
-    const std::string cause =
-        it.final_record == nullptr ? "" : CauseOf(*it.final_record);
+    const std::string cause = CauseOf(it);
     ++(cause.empty() ? summary.unknown : summary.by_cause[cause]);
   }
   return summary;
--- a/src/tools/ibisladder/failure_cause.h
+++ b/src/tools/ibisladder/failure_cause.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <map>
 #include <string>
+#include <string_view>
 
 #include "tools/ibisladder/log_records.h"
 
@@ -20,6 +21,10 @@
 /// for all requests of that cause; empty when the record does not tell.
 std::string CauseOf(const LogRecord& final_record);
 
+/// Cause of a request without a final record whose instance started again.
+constexpr std::string_view kInstanceEnded =
+    "the instance ended while it held the request";
+
 struct UnservedSummary {
   /// Requests of which the logs have any line.
   std::size_t requests = 0;
--- a/src/tools/ibisladder/request_story.cc
+++ b/src/tools/ibisladder/request_story.cc
@@ -171,11 +171,21 @@
   return text;
 }
 
+/// Whether the process that wrote the record has been started again since.
+bool HasStartedAgain(Records records, std::size_t at) {
+  return std::ranges::any_of(records.subspan(at), [&](const LogRecord& it) {
+    return it.event == LogEvent::kProcessStarted &&
+           it.source == records[at].source;
+  });
+}
+
 std::string Conclusion(Records records, std::span<const std::size_t> own) {
   const auto last = std::find_if(own.rbegin(), own.rend(),
                                  [&](auto i) { return IsFinal(records[i]); });
   if (last == own.rend()) {
-    return "No final record: the logs are cut, or the instance ended.\n";
+    return HasStartedAgain(records, own.back())
+               ? "Cause: " + std::string(kInstanceEnded) + ".\n"
+               : "No final record: the logs are cut.\n";
   }
   if (IsServed(records[*last])) return "It was served.\n";
   const std::string cause = CauseOf(records[*last]);
--- a/tests/auto/ibisladder/log_test.cc
+++ b/tests/auto/ibisladder/log_test.cc
@@ -37,6 +37,7 @@
 class LogTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LogTest);
   CPPUNIT_TEST(ExplainsOneRequest);
+  CPPUNIT_TEST(ExplainsLostRequests);
   CPPUNIT_TEST(CountsTheUnservedByCause);
   CPPUNIT_TEST(ReadsDamagedLogs);
   CPPUNIT_TEST(TellsWrongUse);
@@ -80,6 +81,25 @@
     });
   }
 
+  void ExplainsLostRequests() {
+    Section("a request whose instance starts again has a cause", [&] {
+      files_["a.log"] += R"({"t":9000,"code":1601,"event":"process_started"})";
+      AssertHas(Run({"explain", "r6", "a.log"}).out,
+                "Cause: the instance ended while it held the request");
+      const auto told = Run({"summary", "a.log"});
+      AssertHas(told.out, "0 of unknown cause");
+      AssertHas(told.out,
+                "1         the instance ended while it held the request");
+    });
+    Section("not that of another instance", [&] {
+      files_["a.log"] = kFirstLog;
+      files_["b.log"] =
+          R"(edge-b-1 {"t":9000,"code":1601,"event":"process_started"})";
+      AssertHas(Run({"explain", "r6", "a.log", "b.log"}).out,
+                "No final record");
+    });
+  }
+
   void CountsTheUnservedByCause() {
     const auto told = Run({"summary", "a.log", "b.log"});
     AssertCode(ExitCode::kOk, told);
