--- a/src/libs/gateway/requests.cc
+++ b/src/libs/gateway/requests.cc
@@ -152,14 +152,7 @@
   if (!has_attempts || !has_time || service == forwarder.services.end()) {
     const ResultCode code = has_time ? ResultCode::kShedByServers
                                      : ResultCode::kDeadlineBeforeDispatch;
-    const bool is_known = service != forwarder.services.end();
-    const Duration retry_after =
-        is_known
-            ? routing::ReturnAfter(*service->second.router,
-                                   MakeDemand(call, id, is_retry, after_shed),
-                                   context.now, forwarder.random)
-            : kNotReadyRetryAfter;
-    GiveUp(context, id, {code, retry_after});
+    GiveUp(context, id, {code, kNotReadyRetryAfter});
     return;
   }
   const auto demand = MakeDemand(call, id, is_retry, after_shed);
--- a/src/libs/routing/router.cc
+++ b/src/libs/routing/router.cc
@@ -30,9 +30,6 @@
 constexpr std::size_t kBlockedTries = 4;
 constexpr Duration kShortestRetryAfter = Millis(500);
 constexpr Duration kNoServerRetryAfter = Seconds(1);
-/// For a caller whose next attempt finds room: a fifth of the shortest target
-/// latency that the users' services have.
-constexpr Duration kRoomRetryAfter = Millis(100);
 
 /// Spread over [base, 2 * base), so that callers do not return together.
 Duration SpreadRetryAfter(Duration base, Random& random) {
@@ -55,16 +52,6 @@
           SpreadRetryAfter(std::max(drain, kShortestRetryAfter), random)};
 }
 
-/// Another attempt is not allowed here. Where a server has room, the caller's
-/// own next one can be served at once; elsewhere it waits as for an overload.
-Duration ReturnAfterRetries(const Router& router, const Demand& demand,
-                            TimePoint now, Random& random) {
-  if (Choose(router, demand, now, random)) {
-    return SpreadRetryAfter(kRoomRetryAfter, random);
-  }
-  return RefuseOverload(router, random).retry_after;
-}
-
 Refused RefuseNoServer(Random& random) {
   return {ResultCode::kNoServerAvailable,
           SpreadRetryAfter(kNoServerRetryAfter, random)};
@@ -259,11 +246,6 @@
   Internal::RebuildLists(router);
 }
 
-Duration ReturnAfter(const Router& router, const Demand& demand, TimePoint now,
-                     Random& random) {
-  return Internal::ReturnAfterRetries(router, demand, now, random);
-}
-
 Placement Place(Router& router, const Demand& demand, TimePoint now,
                 Random& random) {
   if (demand.deadline <= now) {
@@ -275,8 +257,7 @@
   const bool may_retry =
       demand.is_hedge ? Internal::MayHedge(budget) : Internal::MayRetry(budget);
   if (demand.is_retry && !may_retry) {
-    return Refused{ResultCode::kOverloaded,
-                   ReturnAfter(router, demand, now, random)};
+    return Internal::RefuseOverload(router, random);
   }
   Placement placement = Internal::PlaceOrQueue(router, demand, now, random);
   if (!demand.is_retry) {
--- a/src/libs/routing/router.h
+++ b/src/libs/routing/router.h
@@ -147,10 +147,6 @@
 
 // Queries.
 
-/// When the caller of a request that gets no further attempt here should come
-/// back: soon where a server has room now.
-Duration ReturnAfter(const Router& router, const Demand& demand, TimePoint now,
-                     Random& random);
 /// Calls that wait, or were decided and not yet returned by Pump.
 std::size_t QueueLength(const Router& router);
 std::uint32_t InFlight(const Router& router, BackendServerId server);
