--- a/tests/auto/gateway/directory_test.cc
+++ b/tests/auto/gateway/directory_test.cc
@@ -30,10 +30,24 @@
 class DirectoryTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DirectoryTest);
   CPPUNIT_TEST(FewInstancesOfTheZone);
+  CPPUNIT_TEST(EachInstanceKnowsItsShare);
   CPPUNIT_TEST(LossesMoveLittle);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void EachInstanceKnowsItsShare() {
+    const DirectorySettings settings;
+    const auto members = MakeMembers(8);
+    const std::size_t used = 2 * settings.instances_per_zone;
+    std::size_t in_use = 0;
+    for (const Member& it : members) {
+      const FleetShare share = ShareOf(members, it.name, settings);
+      CPPUNIT_ASSERT_EQUAL(used, share.instances);
+      in_use += share.is_in_use ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(used, in_use);
+  }
+
   void FewInstancesOfTheZone() {
     const DirectorySettings settings;
     Section("as many as are set", [&] {
