Keep the zone's preference while one of its servers answers

After two failures s4 was no longer preferred for its zone, all work had room at s1, and two failures are too little for an ejection.

Change: the zone is left only when all its servers fail. Where one answers, it is the contrast by which the failing ones are ejected. RouterTest::JudgesASickServerBesideAGoodOne fails without it.

--- a/src/libs/routing/choice.cc
+++ b/src/libs/routing/choice.cc
@@ -69,9 +69,6 @@
   double connection_worth = 0;
   /// Whether a cold server may be the last choice; not within the own zone.
   bool settle_for_cold = true;
-  /// Whether servers that only fail may be chosen; not for their zone alone:
-  /// where all of a zone fail, nothing else would show that others do not.
-  bool take_failing = true;
 };
 
 /// Requests that come often enough keep connections to all servers open by
@@ -96,7 +93,6 @@
 
 bool MayTake(const Search& search, const ServerLoad& server) {
   if (!search.repeat_tried && IsTried(search.demand, server.id)) return false;
-  if (!search.take_failing && IsFailing(server)) return false;
   return HasRoom(server, search.router.warm_up, search.now);
 }
 
@@ -163,6 +159,15 @@
   return PickLeast(search, list, random);
 }
 
+/// Whether some server of the own zone does not only fail. Where all do,
+/// nothing would show that those of other zones answer; where one answers, it
+/// shows that the failing ones are sick, and they are ejected for it.
+bool OwnZoneAnswers(const Router& router) {
+  return std::ranges::any_of(router.own_healthy, [&](std::uint32_t it) {
+    return !IsFailing(router.servers[it]);
+  });
+}
+
 /// Whether the request may go to a server on probation.
 bool MayBeTried(const Router& router, const Demand& demand) {
   return router.choice.tries_any_work ||
@@ -235,10 +240,10 @@
   if (const auto trial = PickTrial(search)) {
     return Dispatch{router.servers[*trial].id, "trial in probation"};
   }
-  const bool prefer_own = router.choice.own_zone_room > 0;
+  const bool prefer_own =
+      router.choice.own_zone_room > 0 && OwnZoneAnswers(router);
   Search near_search = search;
   near_search.settle_for_cold = false;
-  near_search.take_failing = false;
   const auto near = prefer_own
                         ? PickFrom(near_search, router.own_healthy, random)
                         : std::nullopt;
--- a/tests/auto/routing/router_test.cc
+++ b/tests/auto/routing/router_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(TellsDisplacedCalls);
   CPPUNIT_TEST(PrefersItsZoneAndWarmServers);
   CPPUNIT_TEST(LeavesAZoneWhoseServersFail);
+  CPPUNIT_TEST(JudgesASickServerBesideAGoodOne);
   CPPUNIT_TEST(PrefersOpenConnections);
   CPPUNIT_TEST_SUITE_END();
 
@@ -179,6 +180,20 @@
     }
   }
 
+  /// One of two servers of the own zone turns gray: it stays in use until its
+  /// failures have it ejected.
+  void JudgesASickServerBesideAGoodOne() {
+    Use(MakeServers(2, 2));
+    int sick = 0;
+    for (std::uint64_t call = 1; call <= 100; ++call) {
+      const auto server = ServerOf(PlaceCall(call));
+      const bool is_sick = server == servers_[0].id;
+      sick += is_sick ? 1 : 0;
+      End(server, is_sick ? AttemptEnd::kError : AttemptEnd::kOk);
+    }
+    CPPUNIT_ASSERT(sick >= 25);
+  }
+
   void PrefersOpenConnections() {
     Use(MakeServers(8, 0));
     TimePoint now = kStart;
