--- a/src/libs/gateway/forwarder_state.h
+++ b/src/libs/gateway/forwarder_state.h
@@ -58,7 +58,7 @@
   std::uint32_t attempts = 0;
   /// Attempts whose connection was never opened.
   std::uint32_t unopened = 0;
-  /// Why the last second attempt was not made, or the last attempt failed.
+  /// How the last attempt that failed ended, and at which server.
   std::string last_failure;
   /// A server's own failure, delivered when nothing better comes.
   std::optional<CallerAnswer> server_failure;
--- a/src/tools/ibisladder/failure_cause.cc
+++ b/src/tools/ibisladder/failure_cause.cc
@@ -1,5 +1,7 @@
 #include "tools/ibisladder/failure_cause.h"
 
+#include <vector>
+
 #include "libs/base/result_code.h"
 
 namespace ibisladder::tool {
--- a/src/tools/ibisladder/log_commands.cc
+++ b/src/tools/ibisladder/log_commands.cc
@@ -1,3 +1,11 @@
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <span>
+#include <string>
+#include <utility>
+#include <vector>
+
 #include "tools/ibisladder/commands.h"
 #include "tools/ibisladder/failure_cause.h"
 #include "tools/ibisladder/report.h"
--- a/src/tools/ibisladder/request_story.cc
+++ b/src/tools/ibisladder/request_story.cc
@@ -143,7 +143,7 @@
   });
   if (store != nullptr) {
     text += store->event == LogEvent::kStoreLost ? "; store lost "
-                                                 : "; store back since ";
+                                                 : "; store back ";
     text += AgeText(*store, records[at]);
   }
   return text;
