--- a/src/libs/gateway/services.cc
+++ b/src/libs/gateway/services.cc
@@ -30,7 +30,7 @@
   pace.interval_jitter = 0.5;
   pace.passes_to_restore = 2;
   pace.least_threshold = 5;
-  pace.answered_word_share = 1;
+  pace.answered_word_share = 1.25F;
   pace.peers_judge_probation = true;
   pace.tries_any_work = true;
   pace.middle_counts_peers = false;
--- a/src/libs/http1/message_parser.cc
+++ b/src/libs/http1/message_parser.cc
@@ -13,6 +13,8 @@
   bool is_response = false;
   bool expects_head = false;
   bool in_message = false;
+  /// A request said that it is the last one of its connection.
+  bool is_closed = false;
   bool expects_continue = false;
   /// Bytes of the head of the current message so far.
   std::size_t head_bytes = 0;
@@ -130,6 +132,7 @@
                                 keep_alive});
     return 0;
   }
+  if (std::exchange(state.is_closed, state.is_closed || !keep_alive)) return 0;
   const auto method = static_cast<http_method>(parser->method);
   state.requests->push_back({http_method_str(method), std::move(state.target),
                              std::move(state.headers), std::move(state.body),
@@ -186,6 +189,8 @@
 
 std::optional<ParseFailure> RequestParser::Feed(std::string_view bytes,
                                                 std::vector<Request>& out) {
+  // No bytes would be the end of the connection for http-parser.
+  if (bytes.empty()) return state_->failure;
   state_->requests = &out;
   return Internal::Execute(*state_, bytes);
 }
@@ -209,6 +214,7 @@
 
 std::optional<ParseFailure> ResponseParser::Feed(std::string_view bytes,
                                                  std::vector<Response>& out) {
+  if (bytes.empty()) return state_->failure;
   state_->responses = &out;
   return Internal::Execute(*state_, bytes);
 }
--- /dev/null
+++ b/tests/auto/gateway/caller_connections_test.cc
@@ -0,0 +1,175 @@
+#include "plugins/gateway/caller_connections.h"
+
+#include <arpa/inet.h>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+
+#include "libs/net/http_server.h"
+#include "libs/net/socket_address.h"
+#include "tests/auto/support/port_range.h"
+#include "tests/auto/support/story.h"
+
+namespace ibisladder::gateway {
+namespace {
+
+using ibisladder::testing::Section;
+
+const ibisladder::testing::PortRange kPorts;
+
+constexpr char kTwoReads[] =
+    "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/// A caller that writes bytes and keeps what comes back.
+class RawCaller {
+ public:
+  RawCaller(net::EventLoop& loop, const Endpoint& endpoint,
+            const std::string& bytes)
+      : loop_(loop),
+        bev_(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE)) {
+    bufferevent_setcb(bev_, &RawCaller::OnReadable, nullptr,
+                      &RawCaller::OnEvent, this);
+    bufferevent_enable(bev_, EV_READ | EV_WRITE);
+    const auto address = net::ToSocketAddress(endpoint);
+    bufferevent_socket_connect(bev_, address->get(),
+                               static_cast<int>(address->size));
+    bufferevent_write(bev_, bytes.data(), bytes.size());
+  }
+  ~RawCaller() { bufferevent_free(bev_); }
+  RawCaller(const RawCaller&) = delete;
+  RawCaller& operator=(const RawCaller&) = delete;
+
+  /// The loop ends when so many bytes, or the end, have come.
+  std::size_t stop_after = 0;
+  std::string received;
+  bool is_closed = false;
+
+ private:
+  static void OnReadable(bufferevent* bev, void* self) {
+    auto& it = *static_cast<RawCaller*>(self);
+    char buf[4096];
+    const std::size_t n = bufferevent_read(bev, buf, sizeof(buf));
+    it.received.append(buf, n);
+    if (it.stop_after > 0 && it.received.size() >= it.stop_after) {
+      it.loop_.Stop();
+    }
+  }
+  static void OnEvent(bufferevent* /*bev*/, short what, void* self) {  // NOLINT
+    auto& it = *static_cast<RawCaller*>(self);
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) return;
+    it.is_closed = true;
+    it.loop_.Stop();
+  }
+
+  net::EventLoop& loop_;
+  bufferevent* bev_;
+};
+
+class CallerConnectionsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CallerConnectionsTest);
+  CPPUNIT_TEST(EvhttpReadsOneRequestAtATime);
+  CPPUNIT_TEST(RequestsAreReadAhead);
+  CPPUNIT_TEST(AnswersKeepTheOrder);
+  CPPUNIT_TEST(DoubtfulRequestsAreRefused);
+  CPPUNIT_TEST(CallersThatLeaveAreTold);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  /// Why callers' connections are not served by evhttp.
+  void EvhttpReadsOneRequestAtATime() {
+    auto loop = std::move(*net::EventLoop::Create());
+    const Endpoint endpoint{"127.0.0.1", kPorts.At(1)};
+    auto server = std::move(*net::HttpServer::Listen(*loop, endpoint, {}));
+    std::vector<std::string> order;
+    std::uint64_t first = 0;
+    server->signal_request().connect([&](net::HttpRequest& it) {
+      order.push_back(it.target);
+      if (it.target == "/1") first = it.id;
+      if (it.target == "/2") loop->Stop();
+    });
+    RawCaller caller(*loop, endpoint, kTwoReads);
+    net::Timer answer(*loop, net::Timer::Kind::kOnce, Millis(50), [&] {
+      order.emplace_back("answer 1");
+      server->Reply(first, 200, {}, "");
+    });
+    loop->Run();
+    CPPUNIT_ASSERT((order == std::vector<std::string>{"/1", "answer 1", "/2"}));
+  }
+
+  void RequestsAreReadAhead() {
+    auto loop = std::move(*net::EventLoop::Create());
+    const Endpoint endpoint{"127.0.0.1", kPorts.At(2)};
+    auto callers = std::move(*CallerConnections::Listen(*loop, endpoint));
+    std::vector<std::string> read;
+    callers->signal_request().connect([&](CallId, http1::Request& it) {
+      read.push_back(it.target);
+      if (read.size() == 2) loop->Stop();
+    });
+    RawCaller caller(*loop, endpoint, kTwoReads);
+    loop->Run();
+    CPPUNIT_ASSERT((read == std::vector<std::string>{"/1", "/2"}));
+  }
+
+  void AnswersKeepTheOrder() {
+    auto loop = std::move(*net::EventLoop::Create());
+    const Endpoint endpoint{"127.0.0.1", kPorts.At(3)};
+    auto callers = std::move(*CallerConnections::Listen(*loop, endpoint));
+    std::vector<CallId> calls;
+    callers->signal_request().connect([&](CallId call, http1::Request&) {
+      calls.push_back(call);
+      if (calls.size() < 2) return;
+      callers->Answer(calls[1], {200, {}, "two", true}, true);
+      callers->Answer(calls[0], {200, {}, "one", true}, false);
+    });
+    RawCaller caller(*loop, endpoint, kTwoReads);
+    loop->Run();
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none"
+                    "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
+                    "Connection: close\r\n\r\ntwo"),
+        caller.received);
+    CPPUNIT_ASSERT(caller.is_closed);
+  }
+
+  void DoubtfulRequestsAreRefused() {
+    auto loop = std::move(*net::EventLoop::Create());
+    const Endpoint endpoint{"127.0.0.1", kPorts.At(4)};
+    auto callers = std::move(*CallerConnections::Listen(*loop, endpoint));
+    int handed_over = 0;
+    callers->signal_request().connect(
+        [&](CallId, http1::Request&) { ++handed_over; });
+    RawCaller caller(*loop, endpoint,
+                     "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+                     "Content-Length: 2\r\n\r\nab");
+    loop->Run();
+    CPPUNIT_ASSERT_EQUAL(0, handed_over);
+    CPPUNIT_ASSERT(caller.received.starts_with("HTTP/1.1 400 "));
+    CPPUNIT_ASSERT(caller.is_closed);
+  }
+
+  void CallersThatLeaveAreTold() {
+    auto loop = std::move(*net::EventLoop::Create());
+    const Endpoint endpoint{"127.0.0.1", kPorts.At(5)};
+    auto callers = std::move(*CallerConnections::Listen(*loop, endpoint));
+    std::optional<RawCaller> caller;
+    std::optional<CallId> call;
+    std::optional<CallId> left;
+    callers->signal_request().connect([&](CallId it, http1::Request&) {
+      call = it;
+      caller.reset();
+    });
+    callers->signal_left().connect([&](CallId it) {
+      left = it;
+      loop->Stop();
+    });
+    caller.emplace(*loop, endpoint, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    loop->Run();
+    CPPUNIT_ASSERT(call && left == call);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CallerConnectionsTest);
+
+}  // namespace
+}  // namespace ibisladder::gateway
--- /dev/null
+++ b/tests/auto/gateway/directory_test.cc
@@ -0,0 +1,72 @@
+#include "libs/gateway/directory.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+#include "tests/auto/support/story.h"
+
+namespace ibisladder::gateway {
+namespace {
+
+using ibisladder::testing::Section;
+
+std::vector<Member> MakeMembers(int per_zone) {
+  std::vector<Member> members;
+  for (const char* zone : {"a", "b"}) {
+    for (int i = 0; i < per_zone; ++i) {
+      const std::string name = std::string(zone) + std::to_string(i);
+      Member member;
+      member.name = name;
+      member.zone = ZoneName(zone);
+      member.callers = {name, 1};
+      members.push_back(member);
+    }
+  }
+  return members;
+}
+
+class DirectoryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DirectoryTest);
+  CPPUNIT_TEST(FewInstancesOfTheZone);
+  CPPUNIT_TEST(LossesMoveLittle);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void FewInstancesOfTheZone() {
+    const DirectorySettings settings;
+    Section("as many as are set", [&] {
+      const auto addresses =
+          AddressesFor(MakeMembers(8), ZoneName("a"), settings);
+      CPPUNIT_ASSERT_EQUAL(settings.instances_per_zone, addresses.size());
+      for (const auto& it : addresses) CPPUNIT_ASSERT(it.address[0] == 'a');
+    });
+    Section("other zones when too few are left", [&] {
+      const auto addresses =
+          AddressesFor(MakeMembers(1), ZoneName("a"), settings);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, addresses.size());
+    });
+    Section("and for a zone that has none", [&] {
+      CPPUNIT_ASSERT(
+          !AddressesFor(MakeMembers(3), ZoneName("c"), settings).empty());
+    });
+  }
+
+  void LossesMoveLittle() {
+    auto members = MakeMembers(8);
+    const auto before = AddressesFor(members, ZoneName("a"), {});
+    std::erase_if(members,
+                  [&](const Member& it) { return it.callers == before[0]; });
+    const auto after = AddressesFor(members, ZoneName("a"), {});
+    const auto kept = std::ranges::count_if(after, [&](const auto& it) {
+      return std::ranges::find(before, it) != before.end();
+    });
+    CPPUNIT_ASSERT_EQUAL(before.size() - 1, static_cast<std::size_t>(kept));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DirectoryTest);
+
+}  // namespace
+}  // namespace ibisladder::gateway
--- /dev/null
+++ b/tests/auto/gateway/heavy_days_test.cc
@@ -0,0 +1,182 @@
+// Loads of the heaviest days, each named after its pattern: many servers that
+// answer failures at once, and a whole service that declines part of its work.
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <set>
+
+#include "tests/auto/gateway/path.h"
+#include "tests/auto/support/story.h"
+
+namespace ibisladder::gateway {
+namespace {
+
+using ibisladder::testing::Section;
+
+constexpr Duration kWork = Millis(300);
+constexpr Duration kStep = Millis(25);
+
+/// Plays servers: good ones answer after kWork, those in `failing` at once
+/// with 500, and `declines` says which requests are declined.
+struct Day {
+  Path path;
+  std::set<std::string> failing;
+  std::function<bool(const SendAttempt&)> declines = [](const auto&) {
+    return false;
+  };
+  std::vector<std::pair<TimePoint, SendAttempt>> running;
+  std::size_t handled = 0;
+  int failed = 0;
+
+  void Handle() {
+    while (handled < path.sent.size()) {
+      const SendAttempt attempt = path.sent[handled++];
+      if (declines(attempt)) {
+        Decline(path, attempt);
+      } else if (failing.contains(attempt.server_name)) {
+        ++failed;
+        Answer(path, attempt, 500);
+      } else {
+        running.emplace_back(path.now + kWork, attempt);
+      }
+    }
+  }
+
+  void Step() {
+    Advance(path, kStep);
+    std::vector<SendAttempt> due;
+    std::erase_if(running, [&](const auto& it) {
+      if (it.first > path.now) return false;
+      due.push_back(it.second);
+      return true;
+    });
+    for (const auto& it : due) Answer(path, it, 200);
+    Handle();
+  }
+
+  /// One request of each kind every `each` steps.
+  void Run(Duration time, int each) {
+    int n = 0;
+    for (Duration passed{}; passed < time; passed += kStep) {
+      Step();
+      if (++n % each != 0) continue;
+      Arrive(path, "/work/1");
+      Handle();
+    }
+  }
+
+  int Count(int status) const {
+    return static_cast<int>(std::ranges::count_if(
+        path.answers,
+        [&](const auto& it) { return it.second.status == status; }));
+  }
+};
+
+class HeavyDaysTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HeavyDaysTest);
+  CPPUNIT_TEST(FastFailuresOfThreeServersInTen);
+  CPPUNIT_TEST(FastFailuresFromTheFirstRequestOn);
+  CPPUNIT_TEST(PeersWordSavesTheFirstRequest);
+  CPPUNIT_TEST(WholeServiceDeclinesPart);
+  CPPUNIT_TEST(MoreWorkThanSlots);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void FastFailuresOfThreeServersInTen() {
+    Day day{MakePath(10)};
+    day.Run(Seconds(5), 2);
+    Section("each of them costs a request or two", [&] {
+      day.failing = {"s1", "s2", "s3"};
+      day.Run(Seconds(3), 2);
+      CPPUNIT_ASSERT(day.failed <= 6);
+    });
+    Section("and a trial now and then while they last", [&] {
+      const int before = day.failed;
+      day.Run(Seconds(12), 2);
+      CPPUNIT_ASSERT(day.failed - before <= 3 * 5);
+    });
+    Section("they serve again soon after", [&] {
+      day.failing.clear();
+      day.Run(Seconds(12), 2);
+      const std::size_t from = day.path.sent.size();
+      day.Run(Seconds(3), 2);
+      std::set<std::string> used;
+      for (std::size_t i = from; i < day.path.sent.size(); ++i) {
+        used.insert(day.path.sent[i].server_name);
+      }
+      CPPUNIT_ASSERT(used.contains("s1") && used.contains("s2") &&
+                     used.contains("s3"));
+    });
+  }
+
+  void FastFailuresFromTheFirstRequestOn() {
+    Day day{MakePath(6)};
+    day.failing = {"s1", "s2"};
+    day.Run(Seconds(3), 2);
+    CPPUNIT_ASSERT(day.failed <= 4);
+  }
+
+  void PeersWordSavesTheFirstRequest() {
+    Path path = MakePath(4);
+    const CallId call = Arrive(path, "/work/1");
+    const SendAttempt failing = LastAttempt(path, call);
+    Answer(path, failing, 500);
+    Section("a fast failure is told at once", [&] {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, path.told.size());
+      CPPUNIT_ASSERT(path.told[0].server == failing.server);
+      CPPUNIT_ASSERT(path.told[0].is_answered);
+    });
+    Section("and believed at once", [&] {
+      Path other = MakePath(4);
+      MergeEvidence(*other.forwarder, InstanceId(7), path.told, other.now);
+      for (int i = 0; i < 12; ++i) {
+        const CallId next = Arrive(other, "/work/1");
+        CPPUNIT_ASSERT(LastAttempt(other, next).server != failing.server);
+      }
+    });
+  }
+
+  void WholeServiceDeclinesPart() {
+    ForwarderSettings settings;
+    settings.retry_percent = 20;
+    settings.retry_slack = 10;
+    Day day{MakePath(10, settings)};
+    day.Run(Seconds(3), 2);
+    int n = 0;
+    day.declines = [&](const auto&) { return ++n % 2 == 0; };
+    const std::size_t calls = day.path.last_call;
+    const std::size_t sent = day.path.sent.size();
+    day.Run(Seconds(10), 2);
+    const std::size_t requests = day.path.last_call - calls;
+    const std::size_t again = day.path.sent.size() - sent - requests;
+    Section("second attempts keep to the budget", [&] {
+      CPPUNIT_ASSERT(again <= requests / 5 + settings.retry_slack + 1);
+      CPPUNIT_ASSERT(again > requests / 10);
+    });
+    Section("no server is taken for sick", [&] {
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
+                           CountersOf(*day.path.forwarder).ejections);
+    });
+  }
+
+  void MoreWorkThanSlots() {
+    Day day{MakePath(2)};
+    // Two servers of four slots do 26 requests a second; 40 come.
+    day.Run(Seconds(10), 1);
+    Section("what can be served is served",
+            [&] { CPPUNIT_ASSERT(day.Count(200) >= 200); });
+    Section("the rest hears so, with a time to come back", [&] {
+      for (const auto& [call, answer] : day.path.answers) {
+        if (answer.status == 200) continue;
+        CPPUNIT_ASSERT_EQUAL(503, answer.status);
+        CPPUNIT_ASSERT(answer.retry_after.has_value());
+      }
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HeavyDaysTest);
+
+}  // namespace
+}  // namespace ibisladder::gateway
--- /dev/null
+++ b/tests/auto/gateway/list_news_test.cc
@@ -0,0 +1,115 @@
+#include "libs/gateway/list_news.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+#include "tests/auto/gateway/path.h"
+#include "tests/auto/support/story.h"
+
+namespace ibisladder::gateway {
+namespace {
+
+using ibisladder::testing::Section;
+
+const TimePoint kStart{Seconds(100)};
+
+SharedLists MakeLists(int members) {
+  SharedLists lists;
+  for (int i = 0; i < members; ++i) {
+    Member member;
+    member.name = "m" + std::to_string(i);
+    member.zone = ZoneName("a");
+    lists.members.emplace(member.name, member);
+  }
+  lists.servers.emplace("s1", MakeServer("s1", "s"));
+  return lists;
+}
+
+WatchDuty DutyOf(const std::string& name) {
+  return {name, ZoneName("a"), kStart, {}};
+}
+
+/// Names of those that read the lists at `now`, when they have heard `heard`.
+std::vector<std::string> Watchers(
+    const SharedLists& lists, TimePoint now,
+    const std::map<std::string, TimePoint>& heard) {
+  std::vector<std::string> result;
+  for (const auto& [name, member] : lists.members) {
+    WatchDuty duty = DutyOf(name);
+    for (const auto& [sender, time] : heard) {
+      if (sender != name) NoteNews(duty, sender, time);
+    }
+    if (MustWatch(duty, lists, now)) result.push_back(name);
+  }
+  return result;
+}
+
+class ListNewsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ListNewsTest);
+  CPPUNIT_TEST(OneWatches);
+  CPPUNIT_TEST(SilenceIsFollowedWithinTheBound);
+  CPPUNIT_TEST(NewsCarryChanges);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void OneWatches() {
+    const SharedLists lists = MakeLists(8);
+    const TimePoint now = kStart + Seconds(5);
+    const auto first = Watchers(lists, kStart + Millis(1500), {});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.size());
+    Section("while its news comes", [&] {
+      const auto later = Watchers(lists, now, {{first[0], now - Millis(300)}});
+      CPPUNIT_ASSERT(later == first);
+    });
+    Section("all read for themselves while nobody tells", [&] {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{8}, Watchers(lists, now, {}).size());
+    });
+  }
+
+  void SilenceIsFollowedWithinTheBound() {
+    const SharedLists lists = MakeLists(8);
+    const auto first = Watchers(lists, kStart + Millis(1500), {});
+    const TimePoint silent = kStart + Seconds(5);
+    const auto next =
+        Watchers(lists, silent + Millis(750), {{first[0], silent}});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, next.size());
+    CPPUNIT_ASSERT(std::ranges::find(next, first[0]) != next.end());
+  }
+
+  void NewsCarryChanges() {
+    SharedLists sender = MakeLists(3);
+    SharedLists receiver = sender;
+    NewsLog log;
+    MakeNews(log, sender, kStart);
+    Section("a draining server", [&] {
+      sender.servers.at("s1").draining = true;
+      CPPUNIT_ASSERT(IsNewsDue(log, sender, kStart));
+      CPPUNIT_ASSERT(ApplyNews(receiver, MakeNews(log, sender, kStart)));
+      CPPUNIT_ASSERT(receiver.servers.at("s1").draining);
+    });
+    Section("a removed one, also when the first datagram is lost", [&] {
+      sender.servers.erase("s1");
+      MakeNews(log, sender, kStart + Millis(100));
+      CPPUNIT_ASSERT(
+          ApplyNews(receiver, MakeNews(log, sender, kStart + Millis(400))));
+      CPPUNIT_ASSERT(receiver.servers.empty());
+    });
+    Section("what was missed for longer shows in the digest", [&] {
+      sender.servers.emplace("s2", MakeServer("s2", "s"));
+      MakeNews(log, sender, kStart + Seconds(2));
+      CPPUNIT_ASSERT(
+          !ApplyNews(receiver, MakeNews(log, sender, kStart + Seconds(5))));
+    });
+    Section("time that passes is no change", [&] {
+      sender.servers.at("s2").warm_up_left = Seconds(1);
+      CPPUNIT_ASSERT(!IsNewsDue(log, sender, kStart + Seconds(5)));
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ListNewsTest);
+
+}  // namespace
+}  // namespace ibisladder::gateway
--- /dev/null
+++ b/tests/auto/gateway/server_connections_test.cc
@@ -0,0 +1,171 @@
+#include "plugins/gateway/server_connections.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <event2/buffer.h>
+#include <event2/listener.h>
+
+#include <optional>
+
+#include "libs/net/socket_address.h"
+#include "tests/auto/support/port_range.h"
+#include "tests/auto/support/story.h"
+
+namespace ibisladder::gateway {
+namespace {
+
+using ibisladder::testing::Section;
+
+const ibisladder::testing::PortRange kPorts;
+
+/// Answers what comes on each connection with the same bytes; closes after
+/// them when told so.
+class RawServer {
+ public:
+  RawServer(net::EventLoop& loop, const Endpoint& endpoint, std::string bytes,
+            bool closes)
+      : loop_(loop), bytes_(std::move(bytes)), closes_(closes) {
+    const auto address = net::ToSocketAddress(endpoint);
+    listener_ = evconnlistener_new_bind(
+        loop.base(), &RawServer::OnAccept, this,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1, address->get(),
+        static_cast<int>(address->size));
+  }
+  ~RawServer() {
+    for (bufferevent* it : connections_) bufferevent_free(it);
+    evconnlistener_free(listener_);
+  }
+  RawServer(const RawServer&) = delete;
+  RawServer& operator=(const RawServer&) = delete;
+
+  std::size_t connections() const { return connections_.size(); }
+
+ private:
+  static void OnAccept(evconnlistener* /*listener*/, evutil_socket_t fd,
+                       sockaddr* /*address*/, int /*size*/, void* self) {
+    auto& it = *static_cast<RawServer*>(self);
+    bufferevent* bev =
+        bufferevent_socket_new(it.loop_.base(), fd, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(bev, &RawServer::OnReadable, &RawServer::OnWritten,
+                      nullptr, self);
+    bufferevent_enable(bev, EV_READ | EV_WRITE);
+    it.connections_.push_back(bev);
+  }
+  static void OnReadable(bufferevent* bev, void* self) {
+    auto& it = *static_cast<RawServer*>(self);
+    evbuffer_drain(bufferevent_get_input(bev), 4096);
+    bufferevent_write(bev, it.bytes_.data(), it.bytes_.size());
+  }
+  static void OnWritten(bufferevent* bev, void* self) {
+    auto& it = *static_cast<RawServer*>(self);
+    if (it.closes_) shutdown(bufferevent_getfd(bev), SHUT_WR);
+  }
+
+  net::EventLoop& loop_;
+  std::string bytes_;
+  bool closes_;
+  evconnlistener* listener_ = nullptr;
+  std::vector<bufferevent*> connections_;
+};
+
+bool Belongs(const http1::Response& response, const std::string& id) {
+  const auto* it = http1::FindHeader(response.headers, "Id");
+  return it == nullptr || *it == id;
+}
+
+struct End {
+  std::optional<http1::Response> answer;
+  std::optional<AttemptFailure> failure;
+};
+
+/// One exchange, to its end.
+End Exchange(net::EventLoop& loop, ServerConnections& servers,
+             const Endpoint& endpoint, std::uint64_t attempt) {
+  End end;
+  const sigc::connection answered =
+      servers.signal_answer().connect([&](AttemptId, http1::Response& it) {
+        end.answer = it;
+        loop.Stop();
+      });
+  const sigc::connection failed =
+      servers.signal_failure().connect([&](AttemptId, AttemptFailure it) {
+        end.failure = it;
+        loop.Stop();
+      });
+  servers.Send({AttemptId(attempt), BackendServerId(1), endpoint,
+                "GET / HTTP/1.1\r\nHost: h\r\n\r\n", false, "mine"});
+  loop.Run();
+  sigc::connection(answered).disconnect();
+  sigc::connection(failed).disconnect();
+  return end;
+}
+
+class ServerConnectionsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ServerConnectionsTest);
+  CPPUNIT_TEST(ConnectionsAreUsedAgain);
+  CPPUNIT_TEST(AnswersOfOthersAreDropped);
+  CPPUNIT_TEST(BrokenAnswersAreNone);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ConnectionsAreUsedAgain() {
+    auto loop = std::move(*net::EventLoop::Create());
+    const Endpoint endpoint{"127.0.0.1", kPorts.At(1)};
+    ServerConnections servers(*loop, {}, &Belongs);
+    Section("after a clean answer", [&] {
+      RawServer server(*loop, endpoint,
+                       "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", false);
+      CPPUNIT_ASSERT(Exchange(*loop, servers, endpoint, 1).answer);
+      CPPUNIT_ASSERT(Exchange(*loop, servers, endpoint, 2).answer);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server.connections());
+    });
+  }
+
+  void AnswersOfOthersAreDropped() {
+    auto loop = std::move(*net::EventLoop::Create());
+    const Endpoint endpoint{"127.0.0.1", kPorts.At(2)};
+    ServerConnections servers(*loop, {}, &Belongs);
+    RawServer server(*loop, endpoint,
+                     "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1\r\n\r\n"
+                     "xHTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 1\r\n\r\n"
+                     "a",
+                     false);
+    const End end = Exchange(*loop, servers, endpoint, 1);
+    Section("the own one is taken", [&] {
+      CPPUNIT_ASSERT(end.answer);
+      CPPUNIT_ASSERT_EQUAL(std::string("a"), end.answer->body);
+    });
+    Section("the connection is not used again", [&] {
+      Exchange(*loop, servers, endpoint, 2);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server.connections());
+    });
+  }
+
+  void BrokenAnswersAreNone() {
+    auto loop = std::move(*net::EventLoop::Create());
+    ServerConnections servers(*loop, {}, &Belongs);
+    Section("one that ends early", [&] {
+      const Endpoint endpoint{"127.0.0.1", kPorts.At(3)};
+      RawServer server(*loop, endpoint,
+                       "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", true);
+      CPPUNIT_ASSERT(Exchange(*loop, servers, endpoint, 1).failure ==
+                     AttemptFailure::kTruncated);
+    });
+    Section("bytes that are no answer", [&] {
+      const Endpoint endpoint{"127.0.0.1", kPorts.At(4)};
+      RawServer server(*loop, endpoint, "what?\r\n\r\n", false);
+      CPPUNIT_ASSERT(Exchange(*loop, servers, endpoint, 2).failure ==
+                     AttemptFailure::kTruncated);
+    });
+    Section("a port that nobody listens on", [&] {
+      const Endpoint endpoint{"127.0.0.1", kPorts.At(5)};
+      CPPUNIT_ASSERT(Exchange(*loop, servers, endpoint, 3).failure ==
+                     AttemptFailure::kConnectFailed);
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServerConnectionsTest);
+
+}  // namespace
+}  // namespace ibisladder::gateway
--- /dev/null
+++ b/tests/auto/gateway/stop_plan_test.cc
@@ -0,0 +1,45 @@
+#include "libs/gateway/stop_plan.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "tests/auto/support/story.h"
+
+namespace ibisladder::gateway {
+namespace {
+
+using ibisladder::testing::Section;
+
+class StopPlanTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StopPlanTest);
+  CPPUNIT_TEST(StopServesFirstAndEndsInTime);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void StopServesFirstAndEndsInTime() {
+    constexpr Duration kLimit = Seconds(6);
+    Section("callers that have not heard of it are served", [&] {
+      CPPUNIT_ASSERT(StopPhaseAt(Seconds(1), kLimit, {0, 0}) ==
+                     StopPhase::kLeaving);
+    });
+    Section("then what is open ends", [&] {
+      CPPUNIT_ASSERT(StopPhaseAt(Seconds(3), kLimit, {1, 0}) ==
+                     StopPhase::kFinishing);
+      CPPUNIT_ASSERT(StopPhaseAt(Seconds(3), kLimit, {0, 2}) ==
+                     StopPhase::kFinishing);
+    });
+    Section("the process ends when nothing is open", [&] {
+      CPPUNIT_ASSERT(StopPhaseAt(Seconds(3), kLimit, {0, 0}) ==
+                     StopPhase::kEnded);
+    });
+    Section("or just before it is killed", [&] {
+      CPPUNIT_ASSERT(StopPhaseAt(Millis(5800), kLimit, {3, 3}) ==
+                     StopPhase::kEnded);
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StopPlanTest);
+
+}  // namespace
+}  // namespace ibisladder::gateway
--- /dev/null
+++ b/tests/auto/http1/message_parser_test.cc
@@ -0,0 +1,185 @@
+#include "libs/http1/message_parser.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "tests/auto/support/story.h"
+
+namespace ibisladder::http1 {
+namespace {
+
+using ibisladder::testing::CheckProperty;
+using ibisladder::testing::Section;
+
+constexpr unsigned kSplitSeed = 71;
+constexpr unsigned kNoiseSeed = 72;
+constexpr int kCases = 400;
+
+struct Parsed {
+  std::vector<Request> requests;
+  std::optional<ParseFailure> failure;
+};
+
+Parsed ParseRequests(const std::string& bytes, const Limits& limits = {}) {
+  Parsed result;
+  auto parser = RequestParser::Create(limits);
+  result.failure = parser.Feed(bytes, result.requests);
+  return result;
+}
+
+bool IsRefused(const std::string& bytes) {
+  return ParseRequests(bytes).failure == ParseFailure::kMalformed;
+}
+
+class MessageParserTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(MessageParserTest);
+  CPPUNIT_TEST(RequestsAreReadInOrder);
+  CPPUNIT_TEST(DoubtfulFramingIsRefused);
+  CPPUNIT_TEST(LimitsHold);
+  CPPUNIT_TEST(ResponsesKnowTheirEnd);
+  CPPUNIT_TEST(SplitsDoNotMatter);
+  CPPUNIT_TEST(NoiseIsNoRequest);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void RequestsAreReadInOrder() {
+    Section("two requests sent at once", [] {
+      const Parsed parsed = ParseRequests(
+          "GET /a/1?x=2 HTTP/1.1\r\nHost: h\r\n\r\n"
+          "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc");
+      CPPUNIT_ASSERT(!parsed.failure);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, parsed.requests.size());
+      CPPUNIT_ASSERT_EQUAL(std::string("/a/1?x=2"), parsed.requests[0].target);
+      CPPUNIT_ASSERT_EQUAL(std::string("abc"), parsed.requests[1].body);
+    });
+    Section("a body in chunks", [] {
+      const Parsed parsed = ParseRequests(
+          "PUT /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n");
+      CPPUNIT_ASSERT_EQUAL(std::string("abc"), parsed.requests.at(0).body);
+    });
+    Section("a request that closes its connection is the last one", [] {
+      const Parsed parsed = ParseRequests(
+          "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+          "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, parsed.requests.size());
+      CPPUNIT_ASSERT(!parsed.requests[0].keep_alive);
+    });
+  }
+
+  void DoubtfulFramingIsRefused() {
+    Section("two lengths that differ", [] {
+      CPPUNIT_ASSERT(
+          IsRefused("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                    "Content-Length: 4\r\n\r\nabcd"));
+    });
+    Section("a blank before the colon", [] {
+      CPPUNIT_ASSERT(IsRefused("GET /a HTTP/1.1\r\nHost : h\r\n\r\n"));
+    });
+    Section("a length beside chunks", [] {
+      CPPUNIT_ASSERT(
+          IsRefused("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"));
+    });
+    Section("a length that is no number", [] {
+      CPPUNIT_ASSERT(IsRefused(
+          "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: +3\r\n\r\nabc"));
+    });
+  }
+
+  void LimitsHold() {
+    const Limits limits{64, 4};
+    Section("of the head", [&] {
+      const std::string bytes =
+          "GET /" + std::string(100, 'a') + " HTTP/1.1\r\nHost: h\r\n\r\n";
+      CPPUNIT_ASSERT(ParseRequests(bytes, limits).failure ==
+                     ParseFailure::kHeadersTooLarge);
+    });
+    Section("of the body", [&] {
+      CPPUNIT_ASSERT(
+          ParseRequests("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nabcde",
+                        limits)
+              .failure == ParseFailure::kBodyTooLarge);
+    });
+  }
+
+  void ResponsesKnowTheirEnd() {
+    Section("a response without a length ends with its connection", [] {
+      auto parser = ResponseParser::Create({});
+      std::vector<Response> responses;
+      CPPUNIT_ASSERT(!parser.Feed("HTTP/1.1 200 OK\r\n\r\nabc", responses));
+      CPPUNIT_ASSERT(responses.empty());
+      CPPUNIT_ASSERT(parser.in_message());
+      CPPUNIT_ASSERT(!parser.FeedEnd(responses));
+      CPPUNIT_ASSERT_EQUAL(std::string("abc"), responses.at(0).body);
+    });
+    Section("one with a length does not", [] {
+      auto parser = ResponseParser::Create({});
+      std::vector<Response> responses;
+      parser.Feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", responses);
+      parser.FeedEnd(responses);
+      CPPUNIT_ASSERT(responses.empty());
+    });
+    Section("a second response is told apart", [] {
+      auto parser = ResponseParser::Create({});
+      std::vector<Response> responses;
+      parser.Feed(
+          "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"
+          "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb",
+          responses);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, responses.size());
+    });
+    Section("the answer to HEAD has no body", [] {
+      auto parser = ResponseParser::Create({});
+      parser.ExpectHead(true);
+      std::vector<Response> responses;
+      parser.Feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", responses);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, responses.size());
+    });
+  }
+
+  void SplitsDoNotMatter() {
+    const std::string bytes =
+        "GET /a HTTP/1.1\r\nHost: h\r\nX-A: 1\r\n\r\n"
+        "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nabc\r\n0\r\n\r\nGET /c HTTP/1.1\r\nHost: h\r\n\r\n";
+    CheckProperty("any split gives the same requests", kSplitSeed, kCases,
+                  [&](std::uint16_t first, std::uint16_t second) {
+                    const std::size_t a = first % bytes.size();
+                    const std::size_t b = a + second % (bytes.size() - a);
+                    auto parser = RequestParser::Create({});
+                    std::vector<Request> requests;
+                    parser.Feed(bytes.substr(0, a), requests);
+                    parser.Feed(bytes.substr(a, b - a), requests);
+                    parser.Feed(bytes.substr(b), requests);
+                    RC_ASSERT(requests.size() == 3U);
+                    RC_ASSERT(requests[1].body == "abc");
+                    RC_ASSERT(requests[0].headers.size() == 2U);
+                  });
+  }
+
+  void NoiseIsNoRequest() {
+    const std::string valid =
+        "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc";
+    CheckProperty("changed bytes give at most one request, whole or refused",
+                  kNoiseSeed, kCases,
+                  [&](std::uint16_t place, char byte, std::string noise) {
+                    std::string bytes = valid;
+                    bytes[place % bytes.size()] = byte;
+                    const Parsed parsed = ParseRequests(bytes + noise);
+                    for (const Request& it : parsed.requests) {
+                      RC_ASSERT(it.target.find('\r') == std::string::npos);
+                      RC_ASSERT(it.target.find(' ') == std::string::npos);
+                      for (const auto& [name, value] : it.headers) {
+                        RC_ASSERT(value.find('\n') == std::string::npos);
+                        RC_ASSERT(!name.empty());
+                      }
+                    }
+                  });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MessageParserTest);
+
+}  // namespace
+}  // namespace ibisladder::http1
--- /dev/null
+++ b/tests/auto/platform/node_test.cc
@@ -0,0 +1,192 @@
+// The whole path on loopback: the store's stand-in, one node, one backend
+// server, one caller.
+#include "platform/node.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <fcntl.h>
+
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "platform/wire_names.h"
+#include "tests/auto/platform/store_standin.h"
+#include "tests/auto/support/port_range.h"
+#include "tests/auto/support/story.h"
+
+namespace ibisladder::platform {
+namespace {
+
+using ibisladder::testing::Section;
+
+const ibisladder::testing::PortRange kPorts;
+
+Endpoint At(int offset) { return {"127.0.0.1", kPorts.At(offset)}; }
+
+const Endpoint kStore = At(1);
+const Endpoint kServer = At(2);
+
+Settings MakeSettings() {
+  Settings settings;
+  settings.node_name = "n1";
+  settings.zone = ZoneName("a");
+  settings.address = "127.0.0.1";
+  settings.callers = At(3);
+  settings.ready = At(4);
+  settings.directory = At(5);
+  settings.peer_port = kPorts.At(6);
+  settings.store = kStore;
+  settings.stop_limit = Millis(900);
+  return settings;
+}
+
+std::string ServerValue() {
+  return nlohmann::json{
+      {"addr", FormatEndpoint(kServer)},
+      {"info", {{"service", "s"}, {"zone", "a"}, {"max_concurrency", 4}}},
+      {"status", {{"state", "ready"}, {"seq", 1}}}}
+      .dump();
+}
+
+std::string ConfigurationValue() {
+  return nlohmann::json{
+      {"version", 3},
+      {"resources",
+       {{{"entry_kind", "routes"},
+         {"meta", {{"name", "r"}}},
+         {"spec",
+          {{"host", FormatEndpoint(At(3))},
+           {"prefix", "/a/"},
+           {"kind", "idempotent"},
+           {"timeout_s", 4},
+           {"target_latency_s", 1},
+           {"max_attempts", 2},
+           {"service", "s"}}}},
+        {{"entry_kind", "services"},
+         {"meta", {{"name", "s"}}},
+         {"spec", {{"health_path", "/healthz"}, {"max_conns", 100}}}}}}}
+      .dump();
+}
+
+/// What the outside saw of one run of the node.
+struct Seen {
+  int ready_before = 0;
+  int ready_after = 0;
+  std::string addresses;
+  int status = 0;
+  std::string body;
+  std::string expected_server;
+  std::string metrics;
+};
+
+/// The outside of the node, on a loop of its own.
+class Outside {
+ public:
+  Outside() {
+    store_.Put(kConfigurationKey, ConfigurationValue());
+    store_.Put(std::string(kServersPrefix) + "i-1", ServerValue());
+    server_->signal_request().connect([this](net::HttpRequest& it) {
+      const auto* expected = net::FindHeader(it.headers, kExpectedServer);
+      seen_.expected_server = expected == nullptr ? "" : *expected;
+      const auto* id = net::FindHeader(it.headers, kRequestId);
+      server_->Reply(it.id, 200,
+                     {{kSignature, "s"}, {kRequestId, id ? *id : ""}}, "body");
+    });
+    client_.signal_answer().connect([this](net::HttpAnswer& it) {
+      answer_ = it;
+      loop_->Stop();
+    });
+    client_.signal_error().connect([this](const net::HttpError&) {
+      answer_.reset();
+      loop_->Stop();
+    });
+  }
+
+  int Ask(const Endpoint& endpoint, const std::string& target) {
+    net::HttpCall call;
+    call.id = ++last_call_;
+    call.endpoint = endpoint;
+    call.target = target;
+    call.headers = {{kRequestId, "id"}, {kTimeLeftMs, "2000"}};
+    client_.Send(call);
+    loop_->Run();
+    return answer_ ? answer_->status : 0;
+  }
+
+  /// Asks until the status is `status`; the loop serves the store meanwhile.
+  int AskUntil(const Endpoint& endpoint, const std::string& target,
+               int status) {
+    constexpr int kMostTries = 200;
+    int last = 0;
+    for (int n = 0; n < kMostTries && last != status; ++n) {
+      net::Timer pause(*loop_, net::Timer::Kind::kOnce, Millis(20),
+                       [this] { loop_->Stop(); });
+      loop_->Run();
+      last = Ask(endpoint, target);
+    }
+    return last;
+  }
+
+  Seen Run() {
+    seen_.ready_before = AskUntil(At(4), kReadyPath, 200);
+    AskUntil(At(5), std::string(kResolvePath) + "?name=h&zone=a", 200);
+    seen_.addresses = answer_ ? answer_->body : "";
+    seen_.status = Ask(At(3), "/a/1");
+    seen_.body = answer_ ? answer_->body : "";
+    Ask(At(7), "/metrics");
+    seen_.metrics = answer_ ? answer_->body : "";
+    raise(SIGTERM);
+    seen_.ready_after = AskUntil(At(4), kReadyPath, 503);
+    return seen_;
+  }
+
+ private:
+  std::unique_ptr<net::EventLoop> loop_ = std::move(*net::EventLoop::Create());
+  StoreStandin store_{*loop_, kStore};
+  std::unique_ptr<net::HttpServer> server_ =
+      std::move(*net::HttpServer::Listen(*loop_, kServer, {}));
+  net::HttpClient client_{*loop_};
+  std::optional<net::HttpAnswer> answer_;
+  std::uint64_t last_call_ = 0;
+  Seen seen_;
+};
+
+class NodeTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(NodeTest);
+  CPPUNIT_TEST(WholePathIsServedAndStopped);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void WholePathIsServedAndStopped() {
+    const int null_device = open("/dev/null", O_WRONLY);
+    logging::JsonLog log(null_device, {});
+    auto node = Node::Create({"/dev/null", kPorts.At(7), MakeSettings()}, log);
+    CPPUNIT_ASSERT(node.has_value());
+    Seen seen;
+    std::thread outside([&] { seen = Outside().Run(); });
+    (*node)->Run();
+    outside.join();
+    Section("ready once configuration and servers are read",
+            [&] { CPPUNIT_ASSERT_EQUAL(200, seen.ready_before); });
+    Section("callers are sent to it", [&] {
+      CPPUNIT_ASSERT(seen.addresses.find(FormatEndpoint(At(3))) !=
+                     std::string::npos);
+    });
+    Section("a request reaches the server that is meant", [&] {
+      CPPUNIT_ASSERT_EQUAL(200, seen.status);
+      CPPUNIT_ASSERT_EQUAL(std::string("body"), seen.body);
+      CPPUNIT_ASSERT_EQUAL(std::string("i-1"), seen.expected_server);
+    });
+    Section("its metrics are served", [&] {
+      CPPUNIT_ASSERT(seen.metrics.find("ibisladder_") != std::string::npos);
+    });
+    Section("a stop takes it out at once, and ends it",
+            [&] { CPPUNIT_ASSERT_EQUAL(503, seen.ready_after); });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(NodeTest);
+
+}  // namespace
+}  // namespace ibisladder::platform
--- /dev/null
+++ b/tests/auto/platform/store_client_test.cc
@@ -0,0 +1,110 @@
+#include "platform/store_client.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "tests/auto/platform/store_standin.h"
+#include "tests/auto/support/port_range.h"
+#include "tests/auto/support/story.h"
+
+namespace ibisladder::platform {
+namespace {
+
+using ibisladder::testing::Section;
+using storesync::CallFailed;
+
+const ibisladder::testing::PortRange kPorts;
+
+struct Session {
+  std::unique_ptr<net::EventLoop> loop = std::move(*net::EventLoop::Create());
+  Endpoint endpoint{"127.0.0.1", kPorts.At(1)};
+  StoreStandin store{*loop, endpoint};
+  StoreClient client{*loop, endpoint};
+  std::uint64_t last_call = 0;
+
+  storesync::Reply Ask(const storesync::Call& call) {
+    std::optional<storesync::Reply> reply;
+    const sigc::connection connection = client.signal_reply().connect(
+        [&](std::uint64_t, const storesync::Reply& it) {
+          reply = it;
+          loop->Stop();
+        });
+    client.Send(++last_call, call);
+    loop->Run();
+    sigc::connection(connection).disconnect();
+    return *reply;
+  }
+};
+
+class StoreClientTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StoreClientTest);
+  CPPUNIT_TEST(CallsAndRepliesAreTranslated);
+  CPPUNIT_TEST(RefusalsAreToldApart);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void CallsAndRepliesAreTranslated() {
+    Session it;
+    it.store.Put("p/a", std::string("\0x", 2));
+    Section("a list, bytes and all", [&] {
+      const auto reply = it.Ask(storesync::RangeCall{"p/", ""});
+      const auto& page = std::get<storesync::RangeReply>(reply);
+      CPPUNIT_ASSERT_EQUAL(std::string("\0x", 2), page.items.at(0).value);
+      CPPUNIT_ASSERT(!page.has_more);
+    });
+    Section("a key under a lease", [&] {
+      const auto granted = std::get<storesync::LeaseReply>(
+          it.Ask(storesync::GrantLeaseCall{Seconds(3)}));
+      const auto stored = it.Ask(storesync::PutCall{"p/b", "b", granted.lease});
+      CPPUNIT_ASSERT(std::holds_alternative<storesync::Stored>(stored));
+      const auto renewed = std::get<storesync::LeaseReply>(
+          it.Ask(storesync::RenewLeaseCall{granted.lease}));
+      CPPUNIT_ASSERT(renewed.lease == granted.lease);
+      Section("that ends with it", [&] {
+        it.Ask(storesync::EndLeaseCall{granted.lease});
+        CPPUNIT_ASSERT(!it.store.Has("p/b"));
+        CPPUNIT_ASSERT(std::holds_alternative<storesync::LeaseEnded>(
+            it.Ask(storesync::RenewLeaseCall{granted.lease})));
+      });
+    });
+    Section("changes, also of keys that went", [&] {
+      it.store.Remove("p/a");
+      const auto reply = std::get<storesync::WatchReply>(it.Ask(
+          storesync::WatchCall{"p/", storesync::Revision(11), Seconds(1)}));
+      CPPUNIT_ASSERT(!reply.changes.empty());
+      CPPUNIT_ASSERT(!reply.changes.back().value);
+    });
+  }
+
+  void RefusalsAreToldApart() {
+    Session it;
+    const storesync::RangeCall call{"p/", ""};
+    const auto reason = [&] {
+      return std::get<CallFailed>(it.Ask(call)).reason;
+    };
+    Section("the store is busy", [&] {
+      it.store.set_mode(StoreStandin::Mode::kBusy);
+      CPPUNIT_ASSERT(reason() == CallFailed::Reason::kRefused);
+    });
+    Section("too many calls", [&] {
+      it.store.set_mode(StoreStandin::Mode::kOverQuota);
+      CPPUNIT_ASSERT(reason() == CallFailed::Reason::kOverQuota);
+    });
+    Section("its history is gone", [&] {
+      it.store.set_mode(StoreStandin::Mode::kHistoryLost);
+      CPPUNIT_ASSERT(std::holds_alternative<storesync::HistoryLost>(
+          it.Ask(storesync::WatchCall{"p/", storesync::Revision(1), {}})));
+    });
+    Section("a reply that cannot be read", [&] {
+      const auto reply =
+          Internal::DecodeReply(call, {1, 200, {}, "{\"items\""});
+      CPPUNIT_ASSERT(std::get<CallFailed>(reply).reason ==
+                     CallFailed::Reason::kInvalid);
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreClientTest);
+
+}  // namespace
+}  // namespace ibisladder::platform
--- /dev/null
+++ b/tests/auto/platform/store_standin.h
@@ -0,0 +1,69 @@
+#ifndef TESTS_AUTO_PLATFORM_STORE_STANDIN_H_
+#define TESTS_AUTO_PLATFORM_STORE_STANDIN_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "libs/net/http_server.h"
+
+/// The platform's store as its published protocol describes it, on loopback.
+namespace ibisladder::platform {
+
+class StoreStandin {
+ public:
+  enum class Mode { kServing, kBusy, kOverQuota, kHistoryLost };
+
+  StoreStandin(net::EventLoop& loop, const Endpoint& endpoint);
+
+  void Put(const std::string& key, const std::string& value,
+           std::uint64_t lease = 0);
+  void Remove(const std::string& key);
+  /// Its keys go with it.
+  void EndLease(std::uint64_t lease);
+  void set_mode(Mode mode) { mode_ = mode; }
+  bool Has(const std::string& key) const { return items_.contains(key); }
+  std::size_t calls() const { return calls_; }
+
+ private:
+  struct Item {
+    std::string value;
+    std::uint64_t revision = 0;
+    std::uint64_t lease = 0;
+  };
+  struct Event {
+    std::string key;
+    std::uint64_t revision = 0;
+    bool removed = false;
+  };
+  struct Watch {
+    std::uint64_t request = 0;
+    std::string prefix;
+    std::uint64_t after = 0;
+    TimePoint until;
+  };
+
+  void Handle(const net::HttpRequest& request);
+  void HandleRange(const net::HttpRequest& request);
+  void HandleTransaction(const net::HttpRequest& request);
+  void HandleLease(const net::HttpRequest& request);
+  void AnswerWatches(bool is_tick);
+  void Reply(std::uint64_t request, int status, const std::string& body);
+
+  std::unique_ptr<net::HttpServer> server_;
+  net::Timer tick_;
+  Mode mode_ = Mode::kServing;
+  std::size_t calls_ = 0;
+  std::uint64_t revision_ = 10;
+  std::uint64_t last_lease_ = 100;
+  std::map<std::string, Item> items_;
+  std::map<std::uint64_t, bool> leases_;
+  std::vector<Event> events_;
+  std::vector<Watch> watches_;
+};
+
+}  // namespace ibisladder::platform
+
+#endif  // TESTS_AUTO_PLATFORM_STORE_STANDIN_H_
