--- a/src/libs/gateway/requests.cc
+++ b/src/libs/gateway/requests.cc
@@ -190,9 +190,10 @@
   if (!is_out && age < call.route.target_latency / kHedgeDivisor) return;
   if (context.now - call.hedge_tried_at < kHedgePause) return;
   call.hedge_tried_at = context.now;
+  routing::Demand demand = MakeDemand(call, id, true, false);
+  demand.is_hedge = true;
   const auto placement =
-      routing::Place(*service.router, MakeDemand(call, id, true, false),
-                     context.now, forwarder.random);
+      routing::Place(*service.router, demand, context.now, forwarder.random);
   if (const auto* dispatch = std::get_if<routing::Dispatch>(&placement)) {
     ++forwarder.counters.second_attempts["slow"];
     Send(context, id, *dispatch);
--- a/src/libs/routing/retry_budget.cc
+++ b/src/libs/routing/retry_budget.cc
@@ -35,4 +35,8 @@
 
 bool MayRetry(const RetryBudget& budget) { return budget.balance >= kOneRetry; }
 
+bool MayHedge(const RetryBudget& budget) {
+  return MayRetry(budget) && 2 * budget.balance > Cap(budget);
+}
+
 }  // namespace ibisladder::routing::Internal
--- a/src/libs/routing/retry_budget.h
+++ b/src/libs/routing/retry_budget.h
@@ -23,6 +23,8 @@
 void SpendRetry(RetryBudget& budget);
 
 bool MayRetry(const RetryBudget& budget);
+/// Whether more than half of what may be saved is there.
+bool MayHedge(const RetryBudget& budget);
 
 }  // namespace ibisladder::routing::Internal
 
--- a/src/libs/routing/router.cc
+++ b/src/libs/routing/router.cc
@@ -254,7 +254,9 @@
   const bool has_own_budget = demand.after_shed && !router.has_one_budget;
   Internal::RetryBudget& budget =
       has_own_budget ? router.shed_retries : router.retries;
-  if (demand.is_retry && !Internal::MayRetry(budget)) {
+  const bool may_retry =
+      demand.is_hedge ? Internal::MayHedge(budget) : Internal::MayRetry(budget);
+  if (demand.is_retry && !may_retry) {
     return Internal::RefuseOverload(router, random);
   }
   Placement placement = Internal::PlaceOrQueue(router, demand, now, random);
--- a/src/libs/routing/router.h
+++ b/src/libs/routing/router.h
@@ -54,6 +54,9 @@
   /// The attempt before this one ended as a definite shed: it cost the server
   /// little, and has a budget of its own.
   bool after_shed = false;
+  /// The attempt before it goes on, and may still end well: half of the budget
+  /// is kept for those that have no other.
+  bool is_hedge = false;
   /// Servers already tried for this call.
   std::vector<BackendServerId> tried;
 };
@@ -77,7 +80,7 @@
 struct RetryAllowance {
   /// Per 100 first attempts.
   std::uint8_t percent = 10;
-  /// Saved up at the most, and there at the start.
+  /// Saved up at the most.
   std::uint8_t burst = 5;
 };
 
--- a/tests/auto/gateway/heavy_days_test.cc
+++ b/tests/auto/gateway/heavy_days_test.cc
@@ -79,6 +79,7 @@
   CPPUNIT_TEST(FastFailuresFromTheFirstRequestOn);
   CPPUNIT_TEST(PeersWordSavesTheFirstRequest);
   CPPUNIT_TEST(WholeServiceDeclinesPart);
+  CPPUNIT_TEST(SlowReadsLeaveBudgetForDeclines);
   CPPUNIT_TEST(MoreWorkThanSlots);
   CPPUNIT_TEST_SUITE_END();
 
@@ -160,6 +161,21 @@
     });
   }
 
+  /// Reads that take long are asked for twice; a request that a server declined
+  /// has only its second attempt.
+  void SlowReadsLeaveBudgetForDeclines() {
+    ForwarderSettings settings;
+    settings.retry_percent = 1;
+    settings.retry_slack = 4;
+    Path path = MakePath(8, settings);
+    // Without a share of first attempts, what is there at the start is all.
+    for (int i = 0; i < 6; ++i) Arrive(path, "/read/1");
+    Advance(path, Millis(900));
+    const CallId call = Arrive(path, "/work/1");
+    Decline(path, LastAttempt(path, call));
+    CPPUNIT_ASSERT_EQUAL(2, AttemptsOf(path, call));
+  }
+
   void MoreWorkThanSlots() {
     Day day{MakePath(2)};
     // Two servers of four slots do 26 requests a second; 40 come.
