Risk charges on servers on trial late, or where room is short

Change: trials are due after 2 to 4 s; work that cannot be repeated takes part after 5 s more, or at once where the others hold 0.75 requests a slot or more, or 0.07 of attempts go unserved.

The new test failed without the patience.

--- a/src/libs/gateway/services.cc
+++ b/src/libs/gateway/services.cc
@@ -17,6 +17,9 @@
 /// tell only what speaks against a server would add their chances up.
 constexpr std::int16_t kLeastTold = 64;
 
+/// Servers that fail do so for 9 s and more, as their answers show.
+constexpr Duration kTrialPatience = Seconds(5);
+
 /// Part of the target latency that answers usually need.
 constexpr int kTargetDivisor = 3;
 
@@ -25,8 +28,8 @@
 detection::Pace QuickPace(Duration target_latency) {
   detection::Pace pace;
   pace.expected_latency = target_latency / kTargetDivisor;
-  pace.first_interval = Seconds(4);
-  pace.longest_interval = Seconds(7);
+  pace.first_interval = Seconds(2);
+  pace.longest_interval = Seconds(4);
   pace.interval_jitter = 0.5;
   pace.passes_to_restore = 2;
   pace.least_threshold = 5;
@@ -46,6 +49,7 @@
   routing::ChoiceSettings choice;
   choice.trial_spacing = 2;
   choice.tries_any_work = true;
+  choice.trial_patience = kTrialPatience;
   return choice;
 }
 
--- a/src/libs/routing/choice.cc
+++ b/src/libs/routing/choice.cc
@@ -15,6 +15,11 @@
 /// Time between two requests of the fleet to a server in probation.
 constexpr Duration kTrialInterval = Millis(25);
 
+/// Load per slot from which on room is short.
+constexpr double kBusyLoad = 0.75;
+/// Share of unserved attempts from which on every sound server is needed.
+constexpr double kManyUnserved = 0.07;
+
 /// Servers compared for one request, where so many have room.
 constexpr std::size_t kMostCompared = 32;
 
@@ -174,6 +179,30 @@
          demand.repeat == declarations::RepeatRule::kIdempotent;
 }
 
+/// Mean estimated load per slot of the servers in regular service.
+double MeanLoad(const Search& search) {
+  const Router& router = search.router;
+  const std::size_t n = std::min(router.healthy.size(), kMostCompared);
+  if (n == 0) return kBusyLoad;
+  double sum = 0;
+  for (std::size_t i = 0; i < n; ++i) {
+    sum += LoadPerSlot(router, router.servers[router.healthy[i]], search.now);
+  }
+  return sum / static_cast<double>(n);
+}
+
+/// Whether work that cannot be repeated is risked on a server on trial: a
+/// failure costs its caller the request, which only a want of room outweighs.
+bool IsWorthTrial(const Search& search, const ServerLoad& server) {
+  if (search.demand.repeat == declarations::RepeatRule::kIdempotent) {
+    return true;
+  }
+  const Duration waited = search.now - server.trial_since;
+  return waited >= search.router.choice.trial_patience ||
+         search.router.unserved_share >= kManyUnserved ||
+         MeanLoad(search) >= kBusyLoad;
+}
+
 /// A server in probation that is due for a request.
 std::optional<std::uint32_t> PickTrial(const Search& search) {
   const Router& router = search.router;
@@ -186,7 +215,8 @@
   for (const std::uint32_t it : router.probation) {
     const ServerLoad& server = router.servers[it];
     if (server.in_flight > 0 || !MayTake(search, server)) continue;
-    if (search.now - server.last_trial >= interval) return it;
+    if (search.now - server.last_trial < interval) continue;
+    if (IsWorthTrial(search, server)) return it;
   }
   return std::nullopt;
 }
--- a/src/libs/routing/router.cc
+++ b/src/libs/routing/router.cc
@@ -16,6 +16,8 @@
 
 /// Weight of a new latency in its mean: 1 / this.
 constexpr int kLatencyMemory = 16;
+/// Weight of the newest attempt in the share of those that were not served.
+constexpr double kUnservedWeight = 1.0 / 32;
 /// Weight of a new gap between first attempts in its mean: 1 / this.
 constexpr int kGapMemory = 16;
 /// Weight of a new report in the mean of other instances' load.
@@ -220,7 +222,7 @@
 }
 
 void SetCandidates(Router& router, std::span<const Candidate> candidates,
-                   std::size_t fleet_size, TimePoint /*now*/) {
+                   std::size_t fleet_size, TimePoint now) {
   std::vector<Internal::ServerLoad> servers;
   std::unordered_map<BackendServerId, std::uint32_t> index;
   servers.reserve(candidates.size());
@@ -234,6 +236,9 @@
       server.id = it.id;
       server.limit = it.slots;
     }
+    const bool starts_trial =
+        detection::IsOnTrial(it.state) && !detection::IsOnTrial(server.state);
+    if (starts_trial) server.trial_since = now;
     Internal::Refresh(server, it, it.zone == router.own_zone, fleet_size);
     in_flight += server.in_flight;
     index.emplace(it.id, static_cast<std::uint32_t>(servers.size()));
@@ -289,6 +294,11 @@
     const Duration change = latency - router.mean_latency;
     router.mean_latency += first ? change : change / Internal::kLatencyMemory;
   }
+  if (end != detection::AttemptEnd::kAbandoned) {
+    const double unserved = end == detection::AttemptEnd::kOk ? 0 : 1;
+    router.unserved_share +=
+        Internal::kUnservedWeight * (unserved - router.unserved_share);
+  }
   const auto it = router.index.find(server);
   if (it == router.index.end()) return;
   Internal::ServerLoad& load = router.servers[it->second];
--- a/src/libs/routing/router.h
+++ b/src/libs/routing/router.h
@@ -102,6 +102,9 @@
   std::uint32_t trial_spacing = 8;
   /// Whether at-most-once work may be tried on probation, too.
   bool tries_any_work = false;
+  /// At-most-once work is tried on a server only after so long a time on trial,
+  /// or where the others are busy.
+  Duration trial_patience{};
 };
 
 /// What Pump decided for a call that was queued.
--- a/src/libs/routing/router_state.h
+++ b/src/libs/routing/router_state.h
@@ -43,6 +43,8 @@
   std::vector<Placed> decided;
   /// Mean latency of good answers; zero until the first.
   Duration mean_latency{};
+  /// Share of the latest attempts that failed or were declined.
+  double unserved_share = 0;
   /// Mean of other instances' requests per server, from reports.
   double usual_others = 0;
   /// Mean time between first attempts here, and the latest one.
--- a/src/libs/routing/server_load.h
+++ b/src/libs/routing/server_load.h
@@ -37,6 +37,8 @@
   TimePoint paused_until;
   TimePoint warm_since;
   TimePoint last_trial;
+  /// Since when it may be tried.
+  TimePoint trial_since;
   /// When its last whole answer arrived.
   TimePoint answered_at;
 };
--- a/tests/auto/routing/router_test.cc
+++ b/tests/auto/routing/router_test.cc
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(LeavesAZoneWhoseServersFail);
   CPPUNIT_TEST(JudgesASickServerBesideAGoodOne);
   CPPUNIT_TEST(PrefersOpenConnections);
+  CPPUNIT_TEST(FailingServersCostFewChargesWhileOthersHaveRoom);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -91,6 +92,52 @@
     });
   }
 
+  /// Servers that fail for seconds, before charges that run once at most.
+  void FailingServersCostFewChargesWhileOthersHaveRoom() {
+    ChoiceSettings choice;
+    choice.tries_any_work = true;
+    choice.trial_spacing = 1;
+    choice.trial_patience = Seconds(5);
+    auto servers = MakeServers(3, 0);
+    servers[0].state = ServerState::kProbation;
+    const auto tried = [&](RepeatRule repeat, Duration after) {
+      Demand demand = MakeDemand(++last_call_, kStart + Seconds(60));
+      demand.repeat = repeat;
+      const auto placement = Place(*router_, demand, kStart + after, random_);
+      End(ServerOf(placement), AttemptEnd::kOk);
+      return ServerOf(placement) == servers[0].id;
+    };
+    const auto begin = [&] {
+      router_ = MakeRouter(service_, Here(), kStart);
+      SetChoice(*router_, choice);
+      Use(servers);
+      // A trial is due after some other work.
+      tried(RepeatRule::kAtMostOnce, Millis(1));
+      tried(RepeatRule::kAtMostOnce, Millis(2));
+    };
+    Section("a charge is not risked early", [&] {
+      begin();
+      CPPUNIT_ASSERT(!tried(RepeatRule::kAtMostOnce, Millis(4900)));
+      CPPUNIT_ASSERT(tried(RepeatRule::kAtMostOnce, Millis(5100)));
+    });
+    Section("a read, which another server can answer, is", [&] {
+      begin();
+      CPPUNIT_ASSERT(tried(RepeatRule::kIdempotent, Seconds(1)));
+    });
+    Section("and a charge is where the others are busy", [&] {
+      begin();
+      for (int i = 1; i <= 2; ++i) {
+        ReportLoad(*router_, servers[i].id, {6, 4}, kStart + Seconds(1));
+      }
+      CPPUNIT_ASSERT(tried(RepeatRule::kAtMostOnce, Millis(1001)));
+    });
+    Section("or where many requests go unserved", [&] {
+      begin();
+      for (int i = 0; i < 4; ++i) End(servers[1].id, AttemptEnd::kError);
+      CPPUNIT_ASSERT(tried(RepeatRule::kAtMostOnce, Seconds(1)));
+    });
+  }
+
   void TellsDisplacedCalls() {
     Section("a full queue", [&] {
       service_.queue_limit = 8;
@@ -264,6 +311,7 @@
 
   declarations::Service service_;
   RouterPtr router_;
+  std::uint64_t last_call_ = 0;
   std::vector<Candidate> servers_;
   Random random_;
 };
