Bring trials of charges forward only where the service lacks servers

Change: the share counts regular service alone, over twice as many attempts, and matters only while fewer servers than the floor are in regular service.

--- a/src/libs/routing/choice.cc
+++ b/src/libs/routing/choice.cc
@@ -17,7 +17,7 @@
 
 /// Load per slot from which on room is short.
 constexpr double kBusyLoad = 0.75;
-/// Share of unserved attempts from which on every sound server is needed.
+/// Share of attempts that are many to go unserved.
 constexpr double kManyUnserved = 0.07;
 
 /// Servers compared for one request, where so many have room.
@@ -191,6 +191,18 @@
   return sum / static_cast<double>(n);
 }
 
+/// Whether the service needs each server that may have recovered: much of its
+/// work goes unserved, and fewer are in regular service than it should have.
+bool LacksServers(const Router& router) {
+  const auto open = std::ranges::count_if(router.servers, [](const auto& it) {
+    return !it.closed && !it.draining;
+  });
+  const std::size_t wanted =
+      static_cast<std::size_t>(open) * router.floor_percent;
+  return router.unserved_share >= kManyUnserved &&
+         router.healthy.size() * 100 < wanted;
+}
+
 /// Whether work that cannot be repeated is risked on a server on trial: a
 /// failure costs its caller the request, which only a want of room outweighs.
 bool IsWorthTrial(const Search& search, const ServerLoad& server) {
@@ -199,8 +211,7 @@
   }
   const Duration waited = search.now - server.trial_since;
   return waited >= search.router.choice.trial_patience ||
-         search.router.unserved_share >= kManyUnserved ||
-         MeanLoad(search) >= kBusyLoad;
+         LacksServers(search.router) || MeanLoad(search) >= kBusyLoad;
 }
 
 /// A server in probation that is due for a request.
--- a/src/libs/routing/router.cc
+++ b/src/libs/routing/router.cc
@@ -17,7 +17,7 @@
 /// Weight of a new latency in its mean: 1 / this.
 constexpr int kLatencyMemory = 16;
 /// Weight of the newest attempt in the share of those that were not served.
-constexpr double kUnservedWeight = 1.0 / 32;
+constexpr double kUnservedWeight = 1.0 / 64;
 /// Weight of a new gap between first attempts in its mean: 1 / this.
 constexpr int kGapMemory = 16;
 /// Weight of a new report in the mean of other instances' load.
@@ -182,6 +182,14 @@
   router.mean_gap += (gap - router.mean_gap) / kGapMemory;
 }
 
+void CountUnserved(Router& router, const ServerLoad& server,
+                   detection::AttemptEnd end) {
+  if (end == detection::AttemptEnd::kAbandoned) return;
+  if (detection::IsOnTrial(server.state)) return;
+  const double unserved = end == detection::AttemptEnd::kOk ? 0 : 1;
+  router.unserved_share += kUnservedWeight * (unserved - router.unserved_share);
+}
+
 void EndInFlight(Router& router, ServerLoad& server) {
   if (server.in_flight == 0) return;
   --server.in_flight;
@@ -212,6 +220,7 @@
 void UpdateSettings(Router& router, const declarations::Service& service) {
   router.warm_up = service.warm_up;
   router.queue_limit = service.queue_limit;
+  router.floor_percent = service.floor_percent;
   Internal::SetPercent(router.retries, service.retry_budget_percent);
 }
 
@@ -294,14 +303,10 @@
     const Duration change = latency - router.mean_latency;
     router.mean_latency += first ? change : change / Internal::kLatencyMemory;
   }
-  if (end != detection::AttemptEnd::kAbandoned) {
-    const double unserved = end == detection::AttemptEnd::kOk ? 0 : 1;
-    router.unserved_share +=
-        Internal::kUnservedWeight * (unserved - router.unserved_share);
-  }
   const auto it = router.index.find(server);
   if (it == router.index.end()) return;
   Internal::ServerLoad& load = router.servers[it->second];
+  Internal::CountUnserved(router, load, end);
   Internal::EndInFlight(router, load);
   Internal::FollowAttempt(load, end, router.mean_latency, now);
 }
--- a/src/libs/routing/router_state.h
+++ b/src/libs/routing/router_state.h
@@ -43,7 +43,9 @@
   std::vector<Placed> decided;
   /// Mean latency of good answers; zero until the first.
   Duration mean_latency{};
-  /// Share of the latest attempts that failed or were declined.
+  /// Share of servers that the operator wants in service, percent.
+  std::uint8_t floor_percent = 0;
+  /// Share of the latest attempts in regular service that were not served.
   double unserved_share = 0;
   /// Mean of other instances' requests per server, from reports.
   double usual_others = 0;
