Tell peers again only of servers in regular service

Cause: each second an instance told its evidence against last resorts anew, for as long as it faded. Every telling put off the trials of the others, and theirs its own: servers that had recovered stayed out for up to 22 s, most of all when the floor was reached.

Change: what is out of regular service has been told and is not told again.

Ruled out: the length of the ejections.

--- a/src/libs/gateway/services.cc
+++ b/src/libs/gateway/services.cc
@@ -258,11 +258,12 @@
   if (context.now - service.evidence_shared_at < kShareInterval) return;
   auto digests =
       detection::OwnDigests(*service.detector, id, kMostDigests, context.now);
-  // What was ejected here has been told; the others make their own trials.
+  // What is out of regular service here has been told. Told again, it would
+  // put off the trials of the others, and theirs the trials here.
   std::erase_if(digests, [&](const auto& it) {
     return it.score < kLeastTold ||
-           detection::StateOf(*service.detector, it.server) ==
-               detection::ServerState::kEjected;
+           detection::StateOf(*service.detector, it.server) !=
+               detection::ServerState::kHealthy;
   });
   if (digests.empty()) return;
   service.evidence_shared_at = context.now;
--- a/tests/auto/gateway/heavy_days_test.cc
+++ b/tests/auto/gateway/heavy_days_test.cc
@@ -82,6 +82,7 @@
   CPPUNIT_TEST(RequestsWithoutWorkAtIdleInstances);
   CPPUNIT_TEST(MoreFailingServersThanTheFloorAllows);
   CPPUNIT_TEST(FailingLastResortsDrawNoOverflow);
+  CPPUNIT_TEST(InstancesDoNotKeepRecoveredServersOut);
   CPPUNIT_TEST(WholeServiceDeclinesPart);
   CPPUNIT_TEST(SlowReadsLeaveBudgetForDeclines);
   CPPUNIT_TEST(StragglersAtManyIdleInstancesKeepTheBudget);
@@ -262,6 +263,41 @@
     });
   }
 
+  /// Half of the servers fail for some seconds; two instances meet them and
+  /// tell each other.
+  void InstancesDoNotKeepRecoveredServersOut() {
+    Day first{MakePath(6)};
+    Day second{MakePath(6)};
+    const auto run = [&](Duration time) {
+      for (Duration passed{}; passed < time; passed += kStep) {
+        for (Day* it : {&first, &second}) it->Run(kStep, 1);
+        const auto told = std::exchange(first.path.told, {});
+        const auto answer = std::exchange(second.path.told, {});
+        MergeEvidence(*second.path.forwarder, InstanceId(1), told,
+                      second.path.now);
+        MergeEvidence(*first.path.forwarder, InstanceId(2), answer,
+                      first.path.now);
+      }
+    };
+    run(Seconds(3));
+    first.failing = second.failing = {"s1", "s2", "s3"};
+    run(Seconds(4));
+    Section("they hear nothing anew of what is known", [&] {
+      first.failing.clear();
+      second.failing.clear();
+      std::set<std::string> used;
+      run(Seconds(14));
+      for (const Day* it : {&first, &second}) {
+        const std::size_t from = it->path.sent.size() - 60;
+        for (std::size_t i = from; i < it->path.sent.size(); ++i) {
+          used.insert(it->path.sent[i].server_name);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, used.size());
+        used.clear();
+      }
+    });
+  }
+
   void WholeServiceDeclinesPart() {
     ForwarderSettings settings;
     settings.retry_percent = 20;
