--- a/src/libs/detection/evidence.cc
+++ b/src/libs/detection/evidence.cc
@@ -22,6 +22,9 @@
 constexpr double kMostErrorRate = 0.9;
 /// A failure is fast below this part of the usual latency.
 constexpr float kFastShare = 0.125F;
+/// Until the norm is known, an attempt that was cut tells of its server from
+/// this multiple of the expected latency on: sound work rarely takes longer.
+constexpr int kLongCut = 4;
 /// The norm moves by a part of its own size, so that one failure hides little
 /// of the next one.
 constexpr double kLearningShare = 1.0 / 4;
@@ -46,6 +49,19 @@
   return static_cast<float>(latency.count()) < usual * kFastShare;
 }
 
+/// Work answers no sooner; requests that ask for none would hide what it takes.
+bool IsWork(const ServiceNorm& norm, Duration latency) {
+  const auto expected = static_cast<float>(norm.expected_latency.count());
+  return static_cast<float>(latency.count()) >= expected * kFastShare;
+}
+
+/// Share of healthy attempts that take as long; what takes no longer than
+/// expected is never unusual.
+double Tail(const ServiceNorm& norm, Duration latency) {
+  if (latency <= norm.expected_latency) return 1;
+  return TailProbability(norm.latency, latency);
+}
+
 float FailureRatio(double normal_rate) {
   const double sick_rate = normal_rate + kSickFailureShare * (1 - normal_rate);
   return static_cast<float>(std::log(sick_rate / normal_rate));
@@ -93,10 +109,11 @@
   if (end == AttemptEnd::kOk) {
     if (!IsKnown(norm.latency)) return {SuccessRatio(), 0};
     return {SuccessRatio(),
-            SlownessRatio(TailProbability(norm.latency, latency)),
+            SlownessRatio(Tail(norm, latency)),
             SuccessRatio()};
   }
   if (end == AttemptEnd::kTimeout && !IsKnown(norm.latency)) {
+    if (taken < norm.expected_latency * kLongCut) return {};
     return {FailureRatio(norm.error_rate), 0};
   }
   if (end == AttemptEnd::kTimeout || end == AttemptEnd::kAbandoned) {
@@ -106,7 +123,7 @@
 }
 
 float JudgeInFlight(const ServiceNorm& norm, Duration age) {
-  const double tail = TailProbability(norm.latency, age);
+  const double tail = Tail(norm, age);
   if (tail > kInFlightTail) return 0;
   return static_cast<float>((kSlowShape - 1) * std::log(tail));
 }
@@ -148,7 +165,8 @@
       norm.learns_cut_latencies &&
       (end == AttemptEnd::kTimeout || end == AttemptEnd::kAbandoned) &&
       static_cast<float>(latency.count()) > norm.latency.median_us;
-  if (end == AttemptEnd::kOk || (is_cut && IsKnown(norm.latency))) {
+  const bool is_done = end == AttemptEnd::kOk && IsWork(norm, latency);
+  if (is_done || (is_cut && IsKnown(norm.latency))) {
     Learn(norm.latency, latency, weight);
   }
   if (end == AttemptEnd::kOk || IsError(end)) {
--- a/tests/auto/gateway/heavy_days_test.cc
+++ b/tests/auto/gateway/heavy_days_test.cc
@@ -78,6 +78,8 @@
   CPPUNIT_TEST(FastFailuresOfThreeServersInTen);
   CPPUNIT_TEST(FastFailuresFromTheFirstRequestOn);
   CPPUNIT_TEST(PeersWordSavesTheFirstRequest);
+  CPPUNIT_TEST(RouteWithLessTimeThanWorkTakes);
+  CPPUNIT_TEST(RequestsWithoutWorkAtIdleInstances);
   CPPUNIT_TEST(WholeServiceDeclinesPart);
   CPPUNIT_TEST(SlowReadsLeaveBudgetForDeclines);
   CPPUNIT_TEST(StragglersAtManyIdleInstancesKeepTheBudget);
@@ -139,6 +141,45 @@
     });
   }
 
+  /// A configuration gives a route less time than its work takes: servers give
+  /// up at the deadline, and are sound.
+  void RouteWithLessTimeThanWorkTakes() {
+    Path path = MakePath(6);
+    for (int i = 0; i < 6; ++i) {
+      const CallId call = Arrive(path, "/work/1", Millis(250));
+      Advance(path, Millis(250) - kStep);
+      Answer(path, LastAttempt(path, call), 504);
+    }
+    CPPUNIT_ASSERT(path.told.empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
+                         CountersOf(*path.forwarder).ejections);
+  }
+
+  /// An instance that callers are not sent to sees only requests that check its
+  /// configuration and ask for no work.
+  void RequestsWithoutWorkAtIdleInstances() {
+    Path path = MakePath(6);
+    for (int i = 0; i < 40; ++i) {
+      const CallId call = Arrive(path, "/work/1");
+      path.now += Millis(1);
+      Answer(path, LastAttempt(path, call), 200);
+    }
+    Section("work that takes as long as usual is not slow for it", [&] {
+      const CallId call = Arrive(path, "/work/1", Millis(300));
+      Advance(path, kWork - kStep);
+      Answer(path, LastAttempt(path, call), 504);
+      CPPUNIT_ASSERT(path.told.empty());
+    });
+    Section("and failures without trying are still told as such", [&] {
+      const CallId call = Arrive(path, "/work/1");
+      path.now += Millis(1);
+      Answer(path, LastAttempt(path, call), 500);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, path.told.size());
+      CPPUNIT_ASSERT(path.told[0].is_answered);
+      CPPUNIT_ASSERT(path.told[0].score > 5 * 16);
+    });
+  }
+
   void WholeServiceDeclinesPart() {
     ForwarderSettings settings;
     settings.retry_percent = 20;
