--- a/src/libs/callerpath/caller_path.cc
+++ b/src/libs/callerpath/caller_path.cc
@@ -61,6 +61,7 @@
     case detection::ServerState::kProbation:
       return "probation";
     case detection::ServerState::kLastResort:
+    case detection::ServerState::kLastResortOnTrial:
       break;
   }
   return "last-resort";
--- a/src/libs/detection/detector.cc
+++ b/src/libs/detection/detector.cc
@@ -209,6 +209,7 @@
     case ServerState::kEjected:
       return LogEvent::kServerEjected;
     case ServerState::kProbation:
+    case ServerState::kLastResortOnTrial:
       return LogEvent::kServerProbation;
     case ServerState::kLastResort:
       break;
--- a/src/libs/detection/detector.h
+++ b/src/libs/detection/detector.h
@@ -34,12 +34,20 @@
 
 enum class ServerState : std::uint8_t {
   kHealthy,
-  kEjected,    ///< Gets no work.
-  kProbation,  ///< Gets a little idempotent work, or probes only.
-  kLastResort  ///< Sick, but the floor forbids ejection: gets what the
-               ///< others cannot take.
+  kEjected,           ///< Gets no work.
+  kProbation,         ///< Gets a little idempotent work, or probes only.
+  kLastResort,        ///< Sick, but the floor forbids ejection: gets what the
+                      ///< others cannot take.
+  kLastResortOnTrial  ///< A last resort that gets a little work besides, to
+                      ///< see whether it has recovered.
 };
 
+/// Whether servers in `state` get a little work to show that they are sound.
+constexpr bool IsOnTrial(ServerState state) {
+  return state == ServerState::kProbation ||
+         state == ServerState::kLastResortOnTrial;
+}
+
 /// The log event of a change to `state`.
 LogEvent EventOf(ServerState state);
 
--- a/src/libs/detection/ejection.cc
+++ b/src/libs/detection/ejection.cc
@@ -125,21 +125,29 @@
   });
 }
 
-/// Whether a last resort is due to be used as before. Its evidence does not
-/// fade while it gets no work.
-bool IsDueBack(const Detector& detector, const Server& server, TimePoint now) {
+/// Whether a last resort is due to be tried. Its evidence does not fade while
+/// it gets no work.
+bool IsDueForTrial(const Detector& detector, const Server& server,
+                   TimePoint now) {
   return detector.pace.tries_any_work &&
          server.state == ServerState::kLastResort && now >= server.next;
 }
 
+void StartTrial(Server& server, ServerState to, TimePoint now,
+                std::vector<StateChange>& changes) {
+  Change(server, to, Cause::kIntervalOver, 0, now, changes);
+  server.own = Evidence{.updated = now};
+  server.words.clear();
+  server.next = now;
+}
+
 void JudgeServing(Detector& detector, Server& server, const Score& score,
                   float threshold, TimePoint now, Random& random,
                   std::vector<StateChange>& changes) {
   if (server.state == ServerState::kLastResort) {
     Prolong(detector, server, now, random);
-    if (IsDueBack(detector, server, now)) {
-      server.words.clear();
-      Restore(detector, server, Cause::kIntervalOver, now, changes);
+    if (IsDueForTrial(detector, server, now)) {
+      StartTrial(server, ServerState::kLastResortOnTrial, now, changes);
       return;
     }
   }
@@ -156,32 +164,38 @@
     }
     return;
   }
+  // Where any work may be tried, a trial tells more than evidence that faded.
   if (server.state == ServerState::kLastResort &&
-      now - server.since >= kLeastLastResort &&
+      !detector.pace.tries_any_work && now - server.since >= kLeastLastResort &&
       score.total < detector.threshold * kRecoveredShare) {
     Change(server, ServerState::kHealthy, Cause::kRecovered, score.total, now,
            changes);
   }
 }
 
-void StartProbation(Server& server, TimePoint now,
-                    std::vector<StateChange>& changes) {
-  Change(server, ServerState::kProbation, Cause::kIntervalOver, 0, now,
-         changes);
-  server.own = Evidence{.updated = now};
-  server.words.clear();
-  server.next = now;
+/// Keeps a server that has failed its trial out, as far as the floor allows.
+void EndTrial(const Detector& detector, Server& server, Cause cause,
+              float score, TimePoint now, Random& random,
+              std::vector<StateChange>& changes) {
+  if (server.state == ServerState::kProbation ||
+      FloorAllows(detector, server, now)) {
+    Eject(detector.pace, server, cause, score, now, random, changes);
+    return;
+  }
+  Change(server, ServerState::kLastResort, cause, score, now, changes);
+  server.next = now + IntervalOf(detector.pace, server, random);
+  server.prolonged_at = now;
 }
 
-void JudgeProbation(const Detector& detector, Server& server,
-                    const Score& score, TimePoint now, Random& random,
-                    std::vector<StateChange>& changes) {
+void JudgeTrial(const Detector& detector, Server& server, const Score& score,
+                TimePoint now, Random& random,
+                std::vector<StateChange>& changes) {
   const bool peers_object =
       detector.pace.peers_judge_probation && score.peers >= kProbationFailure;
   if (score.own >= kProbationFailure || peers_object) {
-    Eject(detector.pace, server,
-          peers_object ? Cause::kPeers : Cause::kProbationFailed, score.own,
-          now, random, changes);
+    EndTrial(detector, server,
+             peers_object ? Cause::kPeers : Cause::kProbationFailed, score.own,
+             now, random, changes);
     return;
   }
   const bool patience_over =
@@ -237,10 +251,13 @@
       break;
     case ServerState::kEjected:
       Prolong(detector, server, now, random);
-      if (now >= server.next) StartProbation(server, now, changes);
+      if (now >= server.next) {
+        StartTrial(server, ServerState::kProbation, now, changes);
+      }
       break;
     case ServerState::kProbation:
-      JudgeProbation(detector, server, score, now, random, changes);
+    case ServerState::kLastResortOnTrial:
+      JudgeTrial(detector, server, score, now, random, changes);
       break;
   }
 }
--- a/src/libs/detection/evidence.cc
+++ b/src/libs/detection/evidence.cc
@@ -108,9 +108,7 @@
   }
   if (end == AttemptEnd::kOk) {
     if (!IsKnown(norm.latency)) return {SuccessRatio(), 0};
-    return {SuccessRatio(),
-            SlownessRatio(Tail(norm, latency)),
-            SuccessRatio()};
+    return {SuccessRatio(), SlownessRatio(Tail(norm, latency)), SuccessRatio()};
   }
   if (end == AttemptEnd::kTimeout && !IsKnown(norm.latency)) {
     if (taken < norm.expected_latency * kLongCut) return {};
--- a/src/libs/detection/scoring.cc
+++ b/src/libs/detection/scoring.cc
@@ -34,8 +34,8 @@
 constexpr double kFirstRate = 1;
 
 bool InService(const Server& server) {
-  return !server.member.leaving && (server.state == ServerState::kHealthy ||
-                                    server.state == ServerState::kLastResort);
+  return !server.member.leaving && server.state != ServerState::kEjected &&
+         server.state != ServerState::kProbation;
 }
 
 float InFlightEvidence(const Detector& detector, const Server& server,
--- a/src/libs/gateway/services.cc
+++ b/src/libs/gateway/services.cc
@@ -236,7 +236,7 @@
     if (it.to == detection::ServerState::kEjected) {
       ++context.forwarder.counters.ejections;
     }
-    const bool has_passed = it.from == detection::ServerState::kProbation &&
+    const bool has_passed = detection::IsOnTrial(it.from) &&
                             it.to == detection::ServerState::kHealthy;
     if (has_passed && it.is_own) {
       context.forwarder.actions.emplace_back(ShareEvidence{
--- a/src/libs/routing/choice.cc
+++ b/src/libs/routing/choice.cc
@@ -213,6 +213,9 @@
         router.healthy.push_back(it);
         if (server.own_zone) router.own_healthy.push_back(it);
         break;
+      case ServerState::kLastResortOnTrial:
+        router.probation.push_back(it);
+        [[fallthrough]];
       case ServerState::kLastResort:
         (server.fails_fast ? router.failing : router.last_resort).push_back(it);
         break;
--- a/src/libs/routing/router.cc
+++ b/src/libs/routing/router.cc
@@ -69,7 +69,7 @@
   ServerLoad& server = router.servers[router.index.at(id)];
   ++server.in_flight;
   ++router.in_flight;
-  if (server.state == detection::ServerState::kProbation) {
+  if (detection::IsOnTrial(server.state)) {
     server.last_trial = now;
     router.since_trial = 0;
   } else if (router.choice.tries_any_work ||
--- a/tests/auto/gateway/heavy_days_test.cc
+++ b/tests/auto/gateway/heavy_days_test.cc
@@ -80,6 +80,7 @@
   CPPUNIT_TEST(PeersWordSavesTheFirstRequest);
   CPPUNIT_TEST(RouteWithLessTimeThanWorkTakes);
   CPPUNIT_TEST(RequestsWithoutWorkAtIdleInstances);
+  CPPUNIT_TEST(MoreFailingServersThanTheFloorAllows);
   CPPUNIT_TEST(WholeServiceDeclinesPart);
   CPPUNIT_TEST(SlowReadsLeaveBudgetForDeclines);
   CPPUNIT_TEST(StragglersAtManyIdleInstancesKeepTheBudget);
@@ -180,6 +181,40 @@
     });
   }
 
+  /// Half of the servers fail for some seconds and recover, under more work
+  /// than the others have room for. One instance hears from another one.
+  void MoreFailingServersThanTheFloorAllows() {
+    Day day{MakePath(6)};
+    Path other = MakePath(6);
+    day.Run(Seconds(3), 1);
+    day.failing = {"s1", "s2", "s3"};
+    day.Run(Seconds(8), 1);
+    MergeEvidence(*other.forwarder, InstanceId(7), day.path.told, other.now);
+    day.path.told.clear();
+    day.failing.clear();
+    const auto used = [](const std::vector<SendAttempt>& sent,
+                         std::size_t from) {
+      std::set<std::string> names;
+      for (std::size_t i = from; i < sent.size(); ++i) {
+        names.insert(sent[i].server_name);
+      }
+      return names.size();
+    };
+    Section("they serve again within seconds", [&] {
+      day.Run(Seconds(8), 1);
+      const std::size_t from = day.path.sent.size();
+      day.Run(Seconds(2), 1);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{6}, used(day.path.sent, from));
+    });
+    Section("and at the other instance by the first one's word", [&] {
+      other.now += Seconds(1);
+      MergeEvidence(*other.forwarder, InstanceId(7), day.path.told, other.now);
+      Advance(other, kStep);
+      for (int i = 0; i < 24; ++i) Arrive(other, "/work/1");
+      CPPUNIT_ASSERT_EQUAL(std::size_t{6}, used(other.sent, 0));
+    });
+  }
+
   void WholeServiceDeclinesPart() {
     ForwarderSettings settings;
     settings.retry_percent = 20;
