--- a/src/libs/gateway/forwarder.cc
+++ b/src/libs/gateway/forwarder.cc
@@ -78,6 +78,7 @@
   forwarder->settings = settings;
   forwarder->random.seed(settings.seed);
   forwarder->evaluated_at = now;
+  forwarder->start_until = now + settings.start_patience;
   return forwarder;
 }
 
@@ -90,14 +91,17 @@
   forwarder.routes = MakeRouteTable(std::move(configuration), forwarder.random);
   Context context{forwarder, now};
   Internal::ApplyConfiguration(context);
+  Internal::FollowStart(context);
   PumpQueues(context);
 }
 
 void SetServers(Forwarder& forwarder, std::span<const ServerEntry> entries,
                 TimePoint now) {
   forwarder.entries.assign(entries.begin(), entries.end());
+  forwarder.has_servers = true;
   Context context{forwarder, now};
   Internal::ApplyServers(context);
+  Internal::FollowStart(context);
   PumpQueues(context);
 }
 
--- a/src/libs/gateway/forwarder.h
+++ b/src/libs/gateway/forwarder.h
@@ -29,6 +29,9 @@
   /// may be made in a row.
   std::uint8_t retry_percent = 16;
   std::uint16_t retry_slack = 40;
+  /// After the start, requests wait so long for the first configuration and
+  /// the first list of servers; from then on they are refused without both.
+  Duration start_patience{};
   std::uint64_t seed = 1;
 };
 
--- a/src/libs/gateway/forwarder_state.h
+++ b/src/libs/gateway/forwarder_state.h
@@ -49,6 +49,8 @@
   /// The caller's deadline or the route's time-out, whichever is earlier.
   TimePoint deadline;
   bool is_queued = false;
+  /// Waits for the first configuration and list of servers.
+  bool is_starting = false;
   bool caller_left = false;
   /// Some server may have begun to work on it.
   bool may_have_run = false;
@@ -73,6 +75,9 @@
   std::optional<RouteTable> routes;
   FleetShare fleet_share;
   bool is_stopping = false;
+  /// Requests wait until then for what is read first.
+  TimePoint start_until;
+  bool has_servers = false;
   std::vector<ServerEntry> entries;
   std::unordered_map<ServiceId, Internal::ServiceState> services;
   std::unordered_map<CallId, Internal::Call> calls;
@@ -111,6 +116,8 @@
 // requests.cc
 
 void Accept(Context& context, CallerRequest request);
+/// Routes the requests that waited for the start, once it is over.
+void FollowStart(Context& context);
 /// Places the next attempt of a call: sends it, queues it or gives up.
 void PlaceAttempt(Context& context, CallId id, bool is_retry, bool after_shed);
 /// Sends, refuses or keeps waiting as the router decided for a queued call.
--- a/src/libs/gateway/requests.cc
+++ b/src/libs/gateway/requests.cc
@@ -111,6 +111,32 @@
   }
 }
 
+bool IsStarting(const Context& context) {
+  const Forwarder& forwarder = context.forwarder;
+  const bool has_all = forwarder.routes && forwarder.has_servers;
+  return !has_all && context.now < forwarder.start_until;
+}
+
+void RouteCall(Context& context, CallId id) {
+  Forwarder& forwarder = context.forwarder;
+  Call& call = forwarder.calls.at(id);
+  if (!forwarder.routes) {
+    AnswerOwn(context, id, ResultCode::kNotReady, kNotReadyRetryAfter);
+    return;
+  }
+  const int route =
+      FindRoute(*forwarder.routes, call.request->host, call.request->target);
+  if (route < 0) {
+    AnswerOwn(context, id, ResultCode::kNoRoute, Duration::zero());
+    return;
+  }
+  call.route = forwarder.routes->configuration->routes[route];
+  call.service = MakeServiceId(TakeService(*forwarder.routes, route));
+  const Duration patience = call.request->patience.value_or(call.route.timeout);
+  call.deadline = call.arrived_at + std::min(patience, call.route.timeout);
+  PlaceAttempt(context, id, false, false);
+}
+
 }  // namespace
 
 void Accept(Context& context, CallerRequest request) {
@@ -125,21 +151,23 @@
     AnswerOwn(context, id, ResultCode::kStopping, kStoppingRetryAfter);
     return;
   }
-  if (!forwarder.routes) {
-    AnswerOwn(context, id, ResultCode::kNotReady, kNotReadyRetryAfter);
+  if (IsStarting(context)) {
+    call.is_starting = true;
+    call.deadline = forwarder.start_until;
     return;
   }
-  const int route =
-      FindRoute(*forwarder.routes, call.request->host, call.request->target);
-  if (route < 0) {
-    AnswerOwn(context, id, ResultCode::kNoRoute, Duration::zero());
-    return;
+  RouteCall(context, id);
+}
+
+void FollowStart(Context& context) {
+  Forwarder& forwarder = context.forwarder;
+  if (!forwarder.routes || !forwarder.has_servers) return;
+  std::vector<CallId> starting;
+  for (auto& [id, call] : forwarder.calls) {
+    if (std::exchange(call.is_starting, false)) starting.push_back(id);
   }
-  call.route = forwarder.routes->configuration->routes[route];
-  call.service = MakeServiceId(TakeService(*forwarder.routes, route));
-  const Duration patience = call.request->patience.value_or(call.route.timeout);
-  call.deadline = context.now + std::min(patience, call.route.timeout);
-  PlaceAttempt(context, id, false, false);
+  std::ranges::sort(starting);
+  for (const CallId it : starting) RouteCall(context, it);
 }
 
 void PlaceAttempt(Context& context, CallId id, bool is_retry, bool after_shed) {
@@ -230,6 +258,10 @@
 void GiveUpAtDeadline(Context& context, CallId id) {
   Forwarder& forwarder = context.forwarder;
   Call& call = forwarder.calls.at(id);
+  if (std::exchange(call.is_starting, false)) {
+    RouteCall(context, id);
+    return;
+  }
   if (call.is_queued) {
     routing::Forget(*forwarder.services.at(call.service).router, id);
   }
--- a/tests/auto/gateway/forwarder_test.cc
+++ b/tests/auto/gateway/forwarder_test.cc
@@ -20,6 +20,7 @@
 class ForwarderTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ForwarderTest);
   CPPUNIT_TEST(AnswersReachTheirCallers);
+  CPPUNIT_TEST(RequestsWaitForTheStart);
   CPPUNIT_TEST(AtMostOnceWorkIsNotRepeated);
   CPPUNIT_TEST(IdempotentWorkIsTriedElsewhere);
   CPPUNIT_TEST(DeadlinesEndWhatRuns);
@@ -57,6 +58,41 @@
     });
   }
 
+  /// All instances were killed: callers are back before the store has answered.
+  void RequestsWaitForTheStart() {
+    ForwarderSettings settings;
+    settings.start_patience = Millis(700);
+    Section("and are served once configuration and servers are there", [&] {
+      Path path = MakePath(0, settings);
+      const CallId call = Arrive(path, "/work/1");
+      CPPUNIT_ASSERT(path.answers.empty() && path.sent.empty());
+      const std::vector<ServerEntry> entries{MakeServer("s1", "s")};
+      SetServers(*path.forwarder, entries, path.now);
+      Collect(path);
+      Answer(path, LastAttempt(path, call), 200);
+      CPPUNIT_ASSERT_EQUAL(200, path.answers.at(call).status);
+    });
+    Section("but not for long, and no longer afterwards", [&] {
+      Path path;
+      path.forwarder = MakeForwarder(settings, path.now);
+      const CallId call = Arrive(path, "/work/1");
+      Advance(path, Millis(650));
+      CPPUNIT_ASSERT(path.answers.empty());
+      Advance(path, Millis(75));
+      CPPUNIT_ASSERT_EQUAL(503, path.answers.at(call).status);
+      CPPUNIT_ASSERT(path.answers.at(call).retry_after.has_value());
+      const CallId late = Arrive(path, "/work/1");
+      CPPUNIT_ASSERT_EQUAL(503, path.answers.at(late).status);
+    });
+    Section("one that leaves meanwhile is forgotten", [&] {
+      Path path;
+      path.forwarder = MakeForwarder(settings, path.now);
+      const CallId call = Arrive(path, "/work/1");
+      CallerLeft(*path.forwarder, call, path.now);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, OpenCalls(*path.forwarder));
+    });
+  }
+
   void AtMostOnceWorkIsNotRepeated() {
     Path path = MakePath(3);
     Section("after a lost connection it may have run", [&] {
--- a/tests/auto/gateway/path.cc
+++ b/tests/auto/gateway/path.cc
@@ -68,7 +68,7 @@
   for (int i = 1; i <= servers; ++i) {
     entries.push_back(MakeServer("s" + std::to_string(i), "s"));
   }
-  SetServers(*path.forwarder, entries, path.now);
+  if (servers > 0) SetServers(*path.forwarder, entries, path.now);
   Collect(path);
   return path;
 }
