--- a/src/libs/detection/detector.cc
+++ b/src/libs/detection/detector.cc
@@ -56,6 +56,14 @@
       static_cast<std::uint32_t>(&server - detector.servers.data()));
 }
 
+/// Whether evidence of this instance or of a peer says so now.
+bool ShowsFastFailures(const Server& server) {
+  return server.own.answered_failures > kFastFailureScore ||
+         std::ranges::any_of(server.words, [](const auto& word) {
+           return word.is_answered && word.score > kFastFailureScore;
+         });
+}
+
 bool IsQuiet(const Server& server, const Score& score) {
   return server.state == ServerState::kHealthy && server.in_flight.empty() &&
          server.words.empty() && score.failures == 0 && score.slowness == 0 &&
@@ -362,8 +370,10 @@
   const std::vector<Score> scores = ScoreActive(detector, now);
   const float threshold = CurrentThreshold(detector, scores, now);
   for (const auto i : SickestFirst(scores)) {
-    Judge(detector, detector.servers[detector.active[i]], scores[i], threshold,
-          now, random, changes);
+    Server& server = detector.servers[detector.active[i]];
+    server.fails_fast = server.fails_fast || ShowsFastFailures(server);
+    Judge(detector, server, scores[i], threshold, now, random, changes);
+    if (server.state == ServerState::kHealthy) server.fails_fast = false;
   }
   Internal::KeepFloor(detector, now, changes);
   DropQuiet(detector, scores);
@@ -418,11 +428,7 @@
 
 bool FailsFast(const Detector& detector, BackendServerId server) {
   const Server* it = FindServer(detector, server);
-  if (it == nullptr) return false;
-  return it->own.answered_failures > kFastFailureScore ||
-         std::ranges::any_of(it->words, [](const auto& word) {
-           return word.is_answered && word.score > kFastFailureScore;
-         });
+  return it != nullptr && (it->fails_fast || ShowsFastFailures(*it));
 }
 
 std::vector<ServerReport> Report(const Detector& detector) {
--- a/src/libs/detection/detector_state.h
+++ b/src/libs/detection/detector_state.h
@@ -40,6 +40,9 @@
   ServerState state = ServerState::kHealthy;
   Cause cause = Cause::kNone;
   bool active = false;
+  /// It answered failures without trying, here or at a peer, since it last was
+  /// in regular service. Evidence and words fade sooner.
+  bool fails_fast = false;
   /// Ejections in short succession; the interval doubles with each.
   std::uint8_t relapses = 0;
   /// Good answers or probes in a row during probation.
--- a/tests/auto/gateway/heavy_days_test.cc
+++ b/tests/auto/gateway/heavy_days_test.cc
@@ -81,6 +81,7 @@
   CPPUNIT_TEST(RouteWithLessTimeThanWorkTakes);
   CPPUNIT_TEST(RequestsWithoutWorkAtIdleInstances);
   CPPUNIT_TEST(MoreFailingServersThanTheFloorAllows);
+  CPPUNIT_TEST(FailingLastResortsDrawNoOverflow);
   CPPUNIT_TEST(WholeServiceDeclinesPart);
   CPPUNIT_TEST(SlowReadsLeaveBudgetForDeclines);
   CPPUNIT_TEST(StragglersAtManyIdleInstancesKeepTheBudget);
@@ -215,6 +216,30 @@
     });
   }
 
+  /// Half of the servers answer failures at once, as a peer has told, and more
+  /// work comes than the others have room for: it waits for them.
+  void FailingLastResortsDrawNoOverflow() {
+    Path path = MakePath(6);
+    Path peer = MakePath(6);
+    for (int i = 0; i < 12 && peer.told.size() < 3; ++i) {
+      const CallId call = Arrive(peer, "/work/1");
+      Answer(peer, LastAttempt(peer, call), 500);
+    }
+    std::set<BackendServerId> failing;
+    for (const auto& it : peer.told) failing.insert(it.server);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, failing.size());
+    MergeEvidence(*path.forwarder, InstanceId(7), peer.told, path.now);
+    Section("also when the peer's words are old", [&] {
+      Advance(path, Seconds(3));
+      for (int i = 0; i < 30; ++i) Arrive(path, "/work/1");
+      const auto drawn = std::ranges::count_if(path.sent, [&](const auto& it) {
+        return failing.contains(it.server);
+      });
+      // One trial of each.
+      CPPUNIT_ASSERT(drawn <= 3);
+    });
+  }
+
   void WholeServiceDeclinesPart() {
     ForwarderSettings settings;
     settings.retry_percent = 20;
