--- a/src/libs/detection/detector.cc
+++ b/src/libs/detection/detector.cc
@@ -371,9 +371,16 @@
   const float threshold = CurrentThreshold(detector, scores, now);
   for (const auto i : SickestFirst(scores)) {
     Server& server = detector.servers[detector.active[i]];
-    server.fails_fast = server.fails_fast || ShowsFastFailures(server);
+    const ServerState before = server.state;
+    const bool is_news = !server.fails_fast && ShowsFastFailures(server);
+    server.fails_fast = server.fails_fast || is_news;
     Judge(detector, server, scores[i], threshold, now, random, changes);
     if (server.state == ServerState::kHealthy) server.fails_fast = false;
+    const bool is_told = server.state != before;
+    if (is_news && !is_told && server.state == ServerState::kLastResort) {
+      changes.push_back({server.member.id, before, before,
+                         Internal::DescribeCause(Internal::Cause::kFailsFast)});
+    }
   }
   Internal::KeepFloor(detector, now, changes);
   DropQuiet(detector, scores);
--- a/src/libs/detection/detector.h
+++ b/src/libs/detection/detector.h
@@ -77,7 +77,8 @@
   }
 };
 
-/// A change of a server's state, with the reason for logs and operators.
+/// A change of a server's state, with the reason for logs and operators. Equal
+/// states: it is a last resort that, as seen now, fails without trying.
 struct StateChange {
   BackendServerId server;
   ServerState from;
--- a/src/libs/detection/detector_state.h
+++ b/src/libs/detection/detector_state.h
@@ -33,6 +33,7 @@
   kProbationFailed,
   kFloor,
   kRecovered,
+  kFailsFast,
 };
 
 struct Server {
--- a/src/libs/detection/ejection.cc
+++ b/src/libs/detection/ejection.cc
@@ -286,6 +286,8 @@
       return "needed to keep the floor";
     case Cause::kRecovered:
       return "evidence faded";
+    case Cause::kFailsFast:
+      return "fails without trying";
   }
   return "";
 }
--- a/tests/auto/gateway/heavy_days_test.cc
+++ b/tests/auto/gateway/heavy_days_test.cc
@@ -229,6 +229,28 @@
     for (const auto& it : peer.told) failing.insert(it.server);
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, failing.size());
     MergeEvidence(*path.forwarder, InstanceId(7), peer.told, path.now);
+    Section("nor those whose failures show only later", [&] {
+      // Timeouts of three peers make a last resort of a server here.
+      Path late = MakePath(6);
+      for (std::uint32_t n = 1; n <= 4; ++n) {
+        std::vector<detection::Digest> words = peer.told;
+        for (auto& it : words) it.is_answered = false;
+        MergeEvidence(*late.forwarder, InstanceId(n), words, late.now);
+      }
+      std::vector<SendAttempt> drawn;
+      for (int i = 0; i < 60; ++i) {
+        const CallId call = Arrive(late, "/work/1");
+        const auto it = std::ranges::find_if(late.sent, [&](const auto& sent) {
+          return sent.request->call == call;
+        });
+        if (it == late.sent.end() || !failing.contains(it->server)) continue;
+        drawn.push_back(*it);
+        Answer(late, drawn.back(), 500);
+      }
+      // Each fails twice before the evidence suffices.
+      CPPUNIT_ASSERT(!drawn.empty());
+      CPPUNIT_ASSERT(drawn.size() <= 6);
+    });
     Section("also when the peer's words are old", [&] {
       Advance(path, Seconds(3));
       for (int i = 0; i < 30; ++i) Arrive(path, "/work/1");
