--- a/src/libs/gateway/requests.cc
+++ b/src/libs/gateway/requests.cc
@@ -154,6 +154,12 @@
   if (IsStarting(context)) {
     call.is_starting = true;
     call.deadline = forwarder.start_until;
+    if (const auto& patience = call.request->patience) {
+      call.deadline = std::min(call.deadline, context.now + *patience);
+    }
+    Log(context, LogEvent::kCallQueued,
+        {{"request", call.request->request_id},
+         {"left_ms", Text(call.deadline - context.now)}});
     return;
   }
   RouteCall(context, id);
--- a/src/libs/gateway/services.cc
+++ b/src/libs/gateway/services.cc
@@ -17,7 +17,7 @@
 /// tell only what speaks against a server would add their chances up.
 constexpr std::int16_t kLeastTold = 64;
 
-/// Servers that fail do so for 9 s and more, as their answers show.
+/// Servers that fail do so for some 9 s; an ejection of 2 to 4 s comes first.
 constexpr Duration kTrialPatience = Seconds(5);
 
 /// Part of the target latency that answers usually need.
--- a/src/libs/routing/choice.cc
+++ b/src/libs/routing/choice.cc
@@ -15,9 +15,10 @@
 /// Time between two requests of the fleet to a server in probation.
 constexpr Duration kTrialInterval = Millis(25);
 
-/// Load per slot from which on room is short.
+/// Load per slot from which on room is short: as for leaving the own zone.
 constexpr double kBusyLoad = 0.75;
-/// Share of attempts that are many to go unserved.
+/// Share of attempts that are many to go unserved: from a tenth on the users
+/// hold the fleet to the floor.
 constexpr double kManyUnserved = 0.07;
 
 /// Servers compared for one request, where so many have room.
--- a/tests/auto/gateway/forwarder_test.cc
+++ b/tests/auto/gateway/forwarder_test.cc
@@ -84,6 +84,13 @@
       const CallId late = Arrive(path, "/work/1");
       CPPUNIT_ASSERT_EQUAL(503, path.answers.at(late).status);
     });
+    Section("nor for longer than the caller does", [&] {
+      Path path;
+      path.forwarder = MakeForwarder(settings, path.now);
+      const CallId call = Arrive(path, "/work/1", Millis(200));
+      Advance(path, Millis(200));
+      CPPUNIT_ASSERT_EQUAL(503, path.answers.at(call).status);
+    });
     Section("one that leaves meanwhile is forgotten", [&] {
       Path path;
       path.forwarder = MakeForwarder(settings, path.now);
