--- a/src/libs/base/log_event.cc
+++ b/src/libs/base/log_event.cc
@@ -40,6 +40,8 @@
       return "late_answer_dropped";
     case LogEvent::kCallCancelled:
       return "call_cancelled";
+    case LogEvent::kAttemptFailed:
+      return "attempt_failed";
     case LogEvent::kServerChosen:
       return "server_chosen";
     case LogEvent::kCallQueued:
@@ -122,6 +124,8 @@
       return "settings_reloaded";
     case LogEvent::kLogLinesDropped:
       return "log_lines_dropped";
+    case LogEvent::kEventLoopLate:
+      return "event_loop_late";
   }
   return "unlisted_event";
 }
--- a/src/libs/base/log_event.h
+++ b/src/libs/base/log_event.h
@@ -21,6 +21,7 @@
   kAnswerRejected = 1008,
   kLateAnswerDropped = 1009,
   kCallCancelled = 1010,
+  kAttemptFailed = 1011,
 
   kServerChosen = 1101,
   kCallQueued = 1102,
@@ -68,6 +69,7 @@
   kSocketFailed = 1605,
   kSettingsReloaded = 1606,
   kLogLinesDropped = 1607,
+  kEventLoopLate = 1608,
 };
 
 /// A "name=value" pair of a log line.
--- a/src/libs/gateway/forwarder.cc
+++ b/src/libs/gateway/forwarder.cc
@@ -196,4 +196,14 @@
   return forwarder.counters;
 }
 
+std::map<std::string, routing::ServerCounts> CountServers(
+    const Forwarder& forwarder, TimePoint now) {
+  std::map<std::string, routing::ServerCounts> counts;
+  for (const auto& [id, service] : forwarder.services) {
+    if (!service.is_configured) continue;
+    counts[service.settings.name] = routing::CountServers(*service.router, now);
+  }
+  return counts;
+}
+
 }  // namespace ibisladder::gateway
--- a/src/libs/gateway/forwarder.h
+++ b/src/libs/gateway/forwarder.h
@@ -119,6 +119,9 @@
 /// Returns the number of requests that are not finished.
 std::size_t OpenCalls(const Forwarder& forwarder);
 const ForwarderCounters& CountersOf(const Forwarder& forwarder);
+/// Returns the numbers of servers by the name of their service.
+std::map<std::string, routing::ServerCounts> CountServers(
+    const Forwarder& forwarder, TimePoint now);
 
 }  // namespace ibisladder::gateway
 
--- a/src/libs/routing/router.h
+++ b/src/libs/routing/router.h
@@ -175,6 +175,21 @@
 
 // Queries.
 
+/// Numbers of servers by what the router may send them. Each server is counted
+/// once.
+struct ServerCounts {
+  std::size_t healthy = 0;
+  /// Healthy, but at the limit of requests in flight, or paused after a
+  /// failure or a shed.
+  std::size_t without_capacity = 0;
+  std::size_t last_resort = 0;
+  std::size_t on_trial = 0;
+  std::size_t ejected = 0;
+  /// Leaving, or replaced at its address.
+  std::size_t closed = 0;
+};
+ServerCounts CountServers(const Router& router, TimePoint now);
+
 /// Number of calls that wait, or have a decision that Pump has not yet
 /// returned.
 std::size_t QueueLength(const Router& router);
--- a/src/plugins/gateway/gateway_metrics.cc
+++ b/src/plugins/gateway/gateway_metrics.cc
@@ -35,6 +35,26 @@
   }
 }
 
+void AddServers(metrics::Families& families, const Forwarder& forwarder) {
+  auto& servers = AddFamily(families, "gateway_servers",
+                            "Backend servers, by what may be sent to them",
+                            MetricType::Gauge);
+  for (const auto& [service, counts] :
+       CountServers(forwarder, net::MonotonicNow())) {
+    const std::pair<const char*, std::size_t> states[] = {
+        {"healthy", counts.healthy},
+        {"without_capacity", counts.without_capacity},
+        {"last_resort", counts.last_resort},
+        {"on_trial", counts.on_trial},
+        {"ejected", counts.ejected},
+        {"closed", counts.closed}};
+    for (const auto& [state, n] : states) {
+      AddSample(servers, static_cast<double>(n),
+                {{"service", service}, {"state", state}});
+    }
+  }
+}
+
 }  // namespace
 
 void AddMetrics(metrics::Families& families, const GatewayTask& gateway) {
@@ -48,6 +68,7 @@
   AddCounter(families, "gateway_ejections_total",
              "Ejections of backend servers", counters.ejections);
   AddAnswers(families, counters);
+  AddServers(families, forwarder);
   const auto configuration = CurrentConfiguration(forwarder);
   AddGauge(families, "gateway_configuration_version",
            "Installed version of the configuration",
--- a/src/plugins/gateway/gateway_task.cc
+++ b/src/plugins/gateway/gateway_task.cc
@@ -55,8 +55,9 @@
                     net::MonotonicNow());
     PerformActions();
   });
-  servers_.signal_failure().connect([this](AttemptId id, AttemptFailure it) {
-    AttemptFailed(*forwarder_, id, it, net::MonotonicNow());
+  servers_.signal_failure().connect([this](const ExchangeFailure& it) {
+    LogFailure(it);
+    AttemptFailed(*forwarder_, it.attempt, it.failure, net::MonotonicNow());
     PerformActions();
   });
   const auto probe_ended = [this](std::uint64_t id, const auto& is_healthy) {
@@ -113,6 +114,18 @@
   PerformActions();
 }
 
+void GatewayTask::LogFailure(const ExchangeFailure& failure) {
+  log_.emit(LogLine{
+      LogEvent::kAttemptFailed,
+      {{"request", failure.request_id},
+       {"failure", FailureName(failure.failure)},
+       {"detected_by",
+        failure.is_connect_timeout ? "connect_timeout" : "socket"},
+       {"connection_ms", std::to_string(ToMillis(failure.connection_age))},
+       {"written", std::to_string(failure.written)},
+       {"unwritten", std::to_string(failure.unwritten)}}});
+}
+
 void GatewayTask::PerformActions() {
   for (auto& action : TakeActions(*forwarder_)) {
     std::visit([this](auto& it) { Perform(it); }, action);
--- a/src/plugins/gateway/gateway_task.h
+++ b/src/plugins/gateway/gateway_task.h
@@ -70,6 +70,7 @@
 
   void ConnectSignals();
   void Tick();
+  void LogFailure(const ExchangeFailure& failure);
   void PerformActions();
   void Perform(const SendAttempt& action);
   void Perform(const CancelAttempt& action);
--- a/src/plugins/gateway/server_connections.cc
+++ b/src/plugins/gateway/server_connections.cc
@@ -37,6 +37,7 @@
   /// Empty while the connection is idle.
   std::optional<AttemptId> attempt;
   std::string request_id;
+  std::size_t request_bytes = 0;
   TimePoint idle_since;
   Duration idle_timeout{};
 };
@@ -97,6 +98,7 @@
   if (connection == nullptr) connection = &Open(exchange);
   connection->attempt = exchange.attempt;
   connection->request_id = std::move(exchange.request_id);
+  connection->request_bytes = exchange.bytes.size();
   connection->parser.ExpectHead(exchange.is_head);
   connection_of_attempt_[exchange.attempt] = connection->id;
   bufferevent_write(connection->bev, exchange.bytes.data(),
@@ -228,12 +230,20 @@
 }
 
 void ServerConnections::Fail(ServerConnection& connection,
-                             AttemptFailure failure) {
+                             AttemptFailure failure, bool is_connect_timeout) {
   const auto attempt = std::exchange(connection.attempt, std::nullopt);
+  ExchangeFailure result;
+  result.failure = failure;
+  result.request_id = std::move(connection.request_id);
+  result.is_connect_timeout = is_connect_timeout;
+  result.connection_age = net::MonotonicNow() - connection.opened_at;
+  result.unwritten = UnsentBytes(connection);
+  result.written = connection.request_bytes - result.unwritten;
   Close(connection.id);
   if (!attempt) return;
   connection_of_attempt_.erase(*attempt);
-  failure_.emit(*attempt, failure);
+  result.attempt = *attempt;
+  failure_.emit(result);
 }
 
 void ServerConnections::Cancel(AttemptId attempt) {
@@ -268,7 +278,7 @@
   for (const std::uint64_t id : unconnected) {
     const auto it = connections_.find(id);
     if (it != connections_.end()) {
-      Fail(*it->second, AttemptFailure::kConnectFailed);
+      Fail(*it->second, AttemptFailure::kConnectFailed, true);
     }
   }
 }
--- a/src/plugins/gateway/server_connections.h
+++ b/src/plugins/gateway/server_connections.h
@@ -29,6 +29,20 @@
   std::string request_id;
 };
 
+/// An exchange that ended without an answer.
+struct ExchangeFailure {
+  AttemptId attempt;
+  AttemptFailure failure = AttemptFailure::kConnectionLost;
+  std::string request_id;
+  /// Whether the connect timeout ended the exchange, not the socket.
+  bool is_connect_timeout = false;
+  /// Age of the connection.
+  Duration connection_age{};
+  /// Bytes of the request that the kernel took, and those that it did not.
+  std::size_t written = 0;
+  std::size_t unwritten = 0;
+};
+
 namespace Internal {
 struct ServerConnection;
 }
@@ -56,7 +70,7 @@
   sigc::signal<void(AttemptId, http1::Response&)>& signal_answer() {
     return answer_;
   }
-  sigc::signal<void(AttemptId, AttemptFailure)>& signal_failure() {
+  sigc::signal<void(const ExchangeFailure&)>& signal_failure() {
     return failure_;
   }
 
@@ -77,7 +91,8 @@
   void HandleAnswer(Internal::ServerConnection& connection,
                     std::vector<http1::Response>& responses, bool is_intact);
   void HandleDisconnect(Internal::ServerConnection& connection, bool is_eof);
-  void Fail(Internal::ServerConnection& connection, AttemptFailure failure);
+  void Fail(Internal::ServerConnection& connection, AttemptFailure failure,
+            bool is_connect_timeout = false);
   void Close(std::uint64_t id);
 
   net::EventLoop& loop_;
@@ -90,7 +105,7 @@
   /// Most recently used last.
   std::unordered_map<BackendServerId, std::vector<std::uint64_t>> idle_;
   sigc::signal<void(AttemptId, http1::Response&)> answer_;
-  sigc::signal<void(AttemptId, AttemptFailure)> failure_;
+  sigc::signal<void(const ExchangeFailure&)> failure_;
 };
 
 }  // namespace ibisladder::gateway
--- a/tests/auto/gateway/server_connections_test.cc
+++ b/tests/auto/gateway/server_connections_test.cc
@@ -95,8 +95,8 @@
         loop.Stop();
       });
   const sigc::connection failed =
-      servers.signal_failure().connect([&](AttemptId, AttemptFailure it) {
-        result.failure = it;
+      servers.signal_failure().connect([&](const ExchangeFailure& it) {
+        result.failure = it.failure;
         loop.Stop();
       });
   servers.Send({AttemptId(attempt), BackendServerId(1), endpoint,
@@ -165,7 +165,7 @@
       servers.Send({AttemptId(2), BackendServerId(1), endpoint,
                     "GET / HTTP/1.1\r\nHost: h\r\n\r\n", false, "mine"});
     });
-    servers.signal_failure().connect([&](AttemptId, AttemptFailure) {
+    servers.signal_failure().connect([&](const ExchangeFailure&) {
       ++failures;
       loop->Stop();
     });
