--- a/tests/auto/gateway/server_connections_test.cc
+++ b/tests/auto/gateway/server_connections_test.cc
@@ -19,6 +19,9 @@
 
 const ibisladder::testing::PortRange kPorts;
 
+/// Longer than the connect timeout.
+constexpr Duration kStall = Seconds(1);
+
 /// Answers all input with the same bytes; with `closes`, then shuts the
 /// connection down.
 class RawServer {
@@ -113,6 +116,7 @@
   CPPUNIT_TEST(AnswersToOtherRequestsAreDropped);
   CPPUNIT_TEST(ExtraBytesCloseTheConnection);
   CPPUNIT_TEST(FailedExchangesAreReported);
+  CPPUNIT_TEST(RequestSentInALateTurnIsNotReportedAsUnsent);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -198,6 +202,38 @@
                      AttemptFailure::kConnectFailed);
     });
   }
+
+  /// Guards against at-most-once requests that run twice: after a stall, the
+  /// connect completes and the request is written in the same turn of the event
+  /// loop in which the connect timeout is due.
+  void RequestSentInALateTurnIsNotReportedAsUnsent() {
+    auto loop = std::move(*net::EventLoop::Create());
+    const Endpoint endpoint{"127.0.0.1", kPorts.At(7)};
+    ServerConnections servers(*loop, {}, &MatchesRequest);
+    RawServer server(*loop, endpoint,
+                     "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", false);
+    Section(
+        "the answer is delivered although the sweep runs before the "
+        "connect is reported",
+        [&] {
+          const net::Timer sweep(
+              *loop, net::Timer::Kind::kOnce, Duration::zero(),
+              [&] { servers.Sweep(net::MonotonicNow() + kStall); });
+          const ExchangeResult result = Exchange(*loop, servers, endpoint, 1);
+          CPPUNIT_ASSERT(!result.failure);
+          CPPUNIT_ASSERT(result.answer);
+        });
+    Section("before any turn, nothing has been sent", [&] {
+      ServerConnections others(*loop, {}, &MatchesRequest);
+      std::optional<AttemptFailure> failure;
+      others.signal_failure().connect(
+          [&](const ExchangeFailure& it) { failure = it.failure; });
+      others.Send({AttemptId(2), BackendServerId(1), endpoint,
+                   "GET / HTTP/1.1\r\nHost: h\r\n\r\n", false, "mine"});
+      others.Sweep(net::MonotonicNow() + kStall);
+      CPPUNIT_ASSERT(failure == AttemptFailure::kConnectFailed);
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServerConnectionsTest);
