Tell by the kernel's bytes whether a request was sent

The cause is a claim made from a callback's state, is_connected, that lags behind the socket.

A request now counts as unsent only while the kernel has not taken any byte of it, which libevent's output buffer tells without a callback. That holds for the connect timeout and for every end of a connection.

--- a/src/plugins/gateway/server_connections.cc
+++ b/src/plugins/gateway/server_connections.cc
@@ -84,6 +84,13 @@
   return evbuffer_get_length(bufferevent_get_output(connection.bev));
 }
 
+/// Whether the kernel has taken any byte of the request, so that the server may
+/// execute it. After a stall, the request is written before the callback that
+/// reports the connect runs.
+bool HasSentBytes(const ServerConnection& connection) {
+  return UnsentBytes(connection) < connection.request_bytes;
+}
+
 }  // namespace
 
 ServerConnections::ServerConnections(net::EventLoop& loop,
@@ -221,7 +228,7 @@
     if (!connections_.contains(id)) return;
   }
   AttemptFailure failure = AttemptFailure::kConnectionLost;
-  if (!connection.is_connected) {
+  if (!HasSentBytes(connection)) {
     failure = AttemptFailure::kConnectFailed;
   } else if (connection.parser.in_message()) {
     failure = AttemptFailure::kTruncated;
@@ -268,7 +275,8 @@
   std::vector<std::uint64_t> unconnected;
   std::vector<std::uint64_t> expired;
   for (const auto& [id, it] : connections_) {
-    if (!it->is_connected && now - it->opened_at > kConnectTimeout) {
+    const bool is_connecting = !it->is_connected && !HasSentBytes(*it);
+    if (is_connecting && now - it->opened_at > kConnectTimeout) {
       unconnected.push_back(id);
     } else if (!it->attempt && now - it->idle_since > it->idle_timeout) {
       expired.push_back(id);
