Close a caller's connection with the last answer in flight

While an instance stops, or when an answer asks to close, the first answer closed the connection although requests behind it had been passed on. These ran, their answers were dropped, and callers take what stands behind a closing answer for unread and send it again.

A closing answer now only ends the reading; the last answer of a request that was passed on closes the connection. The test failed before: the second request counted as left by its caller and got no answer.

--- a/src/plugins/gateway/caller_connections.cc
+++ b/src/plugins/gateway/caller_connections.cc
@@ -20,8 +20,7 @@
 struct PendingAnswer {
   CallId call;
   bool is_head = false;
-  bool keep_alive = true;
-  std::optional<std::string> bytes;
+  std::optional<http1::Response> response;
   bool close = false;
 };
 
@@ -41,7 +40,8 @@
   bufferevent* bev;
   http1::RequestParser parser;
   std::deque<PendingAnswer> pending_answers;
-  /// Set after the last request that is read; further input is dropped.
+  /// Set after the last request that is read; further input is dropped, and the
+  /// last pending answer closes the connection.
   bool discards_input = false;
   /// Shuts down once all output is written.
   bool closes_when_written = false;
@@ -194,8 +194,7 @@
   for (auto& it : requests) {
     if (connection.discards_input) return;
     const CallId call(++last_call_id_);
-    connection.pending_answers.push_back(
-        {call, it.method == "HEAD", it.keep_alive});
+    connection.pending_answers.push_back({call, it.method == "HEAD"});
     connection.discards_input = !it.keep_alive;
     connection_of_call_.emplace(call, id);
     request_.emit(call, it);
@@ -207,9 +206,7 @@
 void CallerConnections::RejectInput(CallerConnection& connection, int status) {
   connection.discards_input = true;
   PendingAnswer pending;
-  pending.keep_alive = false;
-  pending.close = true;
-  pending.bytes = http1::FormatResponse({status, {}, "", false}, true, false);
+  pending.response = http1::Response{status, {}, "", false};
   connection.pending_answers.push_back(std::move(pending));
   WriteReadyAnswers(connection);
 }
@@ -222,28 +219,27 @@
   connection_of_call_.erase(it);
   const auto pending =
       std::ranges::find(connection.pending_answers, call, &PendingAnswer::call);
-  pending->close = close || closes_after_answers_ || !pending->keep_alive;
-  pending->bytes =
-      http1::FormatResponse(response, pending->close, pending->is_head);
+  pending->close = close;
+  pending->response = response;
   WriteReadyAnswers(connection);
 }
 
 void CallerConnections::WriteReadyAnswers(CallerConnection& connection) {
   while (!connection.pending_answers.empty() &&
-         connection.pending_answers.front().bytes) {
+         connection.pending_answers.front().response) {
     const PendingAnswer pending = std::move(connection.pending_answers.front());
     connection.pending_answers.pop_front();
-    bufferevent_write(connection.bev, pending.bytes->data(),
-                      pending.bytes->size());
-    if (!pending.close) continue;
-    connection.discards_input = true;
-    connection.closes_when_written = true;
-    // Requests after the closing answer get none; the forwarder gives them up.
-    const auto dropped = std::exchange(connection.pending_answers, {});
-    for (const PendingAnswer& it : dropped) {
-      if (connection_of_call_.erase(it.call) > 0) caller_left_.emit(it.call);
+    if (pending.close || closes_after_answers_) {
+      connection.discards_input = true;
     }
-    break;
+    // Callers take requests behind a closing answer for unread and send them
+    // again, so that those that were passed on are answered first.
+    const bool is_last =
+        connection.discards_input && connection.pending_answers.empty();
+    const std::string bytes =
+        http1::FormatResponse(*pending.response, is_last, pending.is_head);
+    bufferevent_write(connection.bev, bytes.data(), bytes.size());
+    connection.closes_when_written = is_last;
   }
   connection.last_activity_at = net::MonotonicNow();
   if (!connection.closes_when_written &&
--- a/tests/auto/gateway/caller_connections_test.cc
+++ b/tests/auto/gateway/caller_connections_test.cc
@@ -74,6 +74,7 @@
   CPPUNIT_TEST(AnswersAreWrittenInRequestOrder);
   CPPUNIT_TEST(AmbiguousRequestsAreRejected);
   CPPUNIT_TEST(ClosedCallerConnectionIsReported);
+  CPPUNIT_TEST(ClosingAnswerIsTheLastOfTheRequestsPassedOn);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -174,6 +175,39 @@
     loop->Run();
     CPPUNIT_ASSERT(call && left == call);
   }
+
+  /// Guards against requests that run twice: callers take those behind a
+  /// closing answer for unread and send them again.
+  void ClosingAnswerIsTheLastOfTheRequestsPassedOn() {
+    auto loop = std::move(*net::EventLoop::Create());
+    const Endpoint endpoint{"127.0.0.1", kPorts.At(7)};
+    auto callers = std::move(*CallerConnections::Listen(*loop, endpoint));
+    std::vector<CallId> calls;
+    std::vector<CallId> left;
+    callers->signal_request().connect([&](CallId call, http1::Request&) {
+      calls.push_back(call);
+      if (calls.size() == 2) loop->Stop();
+    });
+    callers->signal_caller_left().connect(
+        [&](CallId call) { left.push_back(call); });
+    RawCaller caller(*loop, endpoint, kTwoRequests);
+    loop->Run();
+    Section("the process is to stop while two requests are in flight", [&] {
+      callers->CloseAfterAnswers();
+      callers->Answer(calls[0], {200, {}, "one", true}, false);
+      callers->Answer(calls[1], {200, {}, "two", true}, false);
+      loop->Run();
+      CPPUNIT_ASSERT(caller.is_closed);
+      CPPUNIT_ASSERT(left.empty());
+    });
+    Section("both are answered, and only the last answer closes", [&] {
+      const std::size_t second = caller.received.find("HTTP/1.1 200", 1);
+      CPPUNIT_ASSERT(second != std::string::npos);
+      const std::size_t close = caller.received.find("Connection: close");
+      CPPUNIT_ASSERT(close != std::string::npos && close > second);
+      CPPUNIT_ASSERT(caller.received.ends_with("two"));
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallerConnectionsTest);
