Show that a request answered with 408 is never passed on

After a stall, the rest of a request and the timeout of its arrival are due in the same turn. The claim holds: RejectInput drops all further input, and the 408 waits behind the answers of the requests before it. Trial: when RejectInput does not drop the input, the test fails, since the request is passed on beside its 408.

--- a/tests/auto/gateway/caller_connections_test.cc
+++ b/tests/auto/gateway/caller_connections_test.cc
@@ -5,6 +5,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <sys/socket.h>
 
 #include "libs/net/http_server.h"
 #include "libs/net/socket_address.h"
@@ -40,6 +41,13 @@
   RawCaller(const RawCaller&) = delete;
   RawCaller& operator=(const RawCaller&) = delete;
 
+  /// Hands the bytes to the kernel at once.
+  void Send(const std::string& bytes) {
+    const ssize_t n =
+        send(bufferevent_getfd(bev_), bytes.data(), bytes.size(), 0);
+    CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(bytes.size()), n);
+  }
+
   /// The loop stops after this many bytes (0: no limit), or at the end of the
   /// connection.
   std::size_t stop_after = 0;
@@ -74,6 +82,7 @@
   CPPUNIT_TEST(AnswersAreWrittenInRequestOrder);
   CPPUNIT_TEST(AmbiguousRequestsAreRejected);
   CPPUNIT_TEST(ClosedCallerConnectionIsReported);
+  CPPUNIT_TEST(TimedOutRequestsAreNotPassedOn);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -174,6 +183,35 @@
     loop->Run();
     CPPUNIT_ASSERT(call && left == call);
   }
+
+  /// Guards against a 408 for a request that was passed on: after a stall, the
+  /// rest of a request and the timeout of its arrival are due in the same turn.
+  void TimedOutRequestsAreNotPassedOn() {
+    auto loop = std::move(*net::EventLoop::Create());
+    const Endpoint endpoint{"127.0.0.1", kPorts.At(6)};
+    auto callers = std::move(*CallerConnections::Listen(*loop, endpoint));
+    std::vector<CallId> calls;
+    callers->signal_request().connect([&](CallId call, http1::Request&) {
+      calls.push_back(call);
+      loop->Stop();
+    });
+    RawCaller caller(*loop, endpoint,
+                     "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\n");
+    loop->Run();
+    caller.Send("Host: h\r\n\r\n");
+    callers->Sweep(net::MonotonicNow() + Seconds(3600));
+    event_base_loop(loop->base(), EVLOOP_NONBLOCK);
+    callers->Answer(calls.front(), {200, {}, "one", true}, false);
+    loop->Run();
+    Section("the request before it gets its own answer", [&] {
+      CPPUNIT_ASSERT(caller.received.starts_with(
+          "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\noneHTTP/1.1 408 "));
+    });
+    Section("the rest of the timed out request is dropped", [&] {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, calls.size());
+      CPPUNIT_ASSERT(caller.is_closed);
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallerConnectionsTest);
