Send no request on a connection with unread input

Cause: an idle connection was reused by what libevent had reported so far. After a stall, the kernel may hold bytes or the end of the connection that no callback has reported. The request was then written behind them. An answer "not run" without a request ID that had waited there was taken for the request's own, so that an at-most-once request could run twice; on a connection that had ended, the request was written and lost.

A connection is now reused only if nothing waits to be read, which the kernel is asked with one recv(MSG_PEEK); otherwise it is closed and the next idle one or a new one is taken.

What remains: an answer without an ID that arrives after the request was handed to the connection cannot be told from the request's own.

--- a/src/libs/net/socket_address.cc
+++ b/src/libs/net/socket_address.cc
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 
 #include <array>
+#include <cerrno>
 
 namespace ibisladder::net {
 
@@ -27,6 +28,12 @@
   return info.tcpi_state == TCP_SYN_SENT;
 }
 
+bool HasUnreadInput(int fd) {
+  char byte = 0;
+  const ssize_t n = recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 Endpoint ToEndpoint(const sockaddr* address) {
   std::array<char, INET6_ADDRSTRLEN> buf{};
   if (address->sa_family == AF_INET) {
--- a/src/libs/net/socket_address.h
+++ b/src/libs/net/socket_address.h
@@ -26,6 +26,10 @@
 /// sent. False for a connection that was established and then lost.
 bool IsConnecting(int fd);
 
+/// Whether bytes, the end of the connection or an error wait to be read. After
+/// a stall of the process, that is known to the kernel only.
+bool HasUnreadInput(int fd);
+
 /// Returns an empty endpoint for families other than IPv4 and IPv6.
 Endpoint ToEndpoint(const sockaddr* address);
 
--- a/src/plugins/gateway/server_connections.cc
+++ b/src/plugins/gateway/server_connections.cc
@@ -91,6 +91,14 @@
   return UnsentBytes(connection) < connection.request_bytes;
 }
 
+/// Whether an idle connection has received bytes, which belong to no further
+/// request, or has ended. After a stall, the next request comes before the
+/// callback that reports either.
+bool HasInput(const ServerConnection& connection) {
+  return evbuffer_get_length(bufferevent_get_input(connection.bev)) > 0 ||
+         net::HasUnreadInput(bufferevent_getfd(connection.bev));
+}
+
 }  // namespace
 
 ServerConnections::ServerConnections(net::EventLoop& loop,
@@ -113,14 +121,18 @@
 }
 
 ServerConnection* ServerConnections::TakeIdle(BackendServerId server) {
-  const auto it = idle_.find(server);
-  if (it == idle_.end() || it->second.empty()) return nullptr;
-  const std::uint64_t id = it->second.back();
-  it->second.pop_back();
-  ServerConnection* connection = connections_.at(id).get();
-  const Duration age = net::MonotonicNow() - connection->idle_since;
-  if (age <= connection->idle_timeout) return connection;
-  Close(id);
+  auto it = idle_.find(server);
+  while (it != idle_.end() && !it->second.empty()) {
+    const std::uint64_t id = it->second.back();
+    ServerConnection* connection = connections_.at(id).get();
+    const Duration age = net::MonotonicNow() - connection->idle_since;
+    if (age <= connection->idle_timeout && !HasInput(*connection)) {
+      it->second.pop_back();
+      return connection;
+    }
+    Close(id);
+    it = idle_.find(server);
+  }
   return nullptr;
 }
 
--- a/tests/auto/gateway/server_connections_test.cc
+++ b/tests/auto/gateway/server_connections_test.cc
@@ -4,6 +4,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <event2/buffer.h>
 #include <event2/listener.h>
+#include <sys/socket.h>
 
 #include <csignal>
 #include <optional>
@@ -45,6 +46,16 @@
   RawServer& operator=(const RawServer&) = delete;
 
   std::size_t connections() const { return connections_.size(); }
+  /// Sends bytes on the last connection at once, as during a stall of the peer.
+  void SendUnasked(const std::string& bytes) const {
+    const int fd = bufferevent_getfd(connections_.back());
+    const ssize_t n = send(fd, bytes.data(), bytes.size(), 0);
+    CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(bytes.size()), n);
+  }
+  /// Ends the last connection at once.
+  void Shutdown() const {
+    shutdown(bufferevent_getfd(connections_.back()), SHUT_WR);
+  }
 
  private:
   static void OnAccept(evconnlistener* /*listener*/, evutil_socket_t fd,
@@ -117,6 +128,8 @@
   CPPUNIT_TEST(ExtraBytesCloseTheConnection);
   CPPUNIT_TEST(FailedExchangesAreReported);
   CPPUNIT_TEST(RequestSentInALateTurnIsNotReportedAsUnsent);
+  CPPUNIT_TEST(AnswerThatArrivedBeforeTheRequestIsNotItsAnswer);
+  CPPUNIT_TEST(RequestsAreNotSentOnConnectionsThatEnded);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -234,6 +247,42 @@
       CPPUNIT_ASSERT(failure == AttemptFailure::kConnectFailed);
     });
   }
+
+  /// Guards against at-most-once requests that run twice: an answer "not run"
+  /// without a request ID waits unread on an idle connection during a stall,
+  /// and would be taken for the answer to the next request on it.
+  void AnswerThatArrivedBeforeTheRequestIsNotItsAnswer() {
+    auto loop = std::move(*net::EventLoop::Create());
+    const Endpoint endpoint{"127.0.0.1", kPorts.At(8)};
+    ServerConnections servers(*loop, {}, &MatchesRequest);
+    RawServer server(*loop, endpoint,
+                     "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", false);
+    CPPUNIT_ASSERT(Exchange(*loop, servers, endpoint, 1).answer);
+    server.SendUnasked(
+        "HTTP/1.1 503 Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    const ExchangeResult result = Exchange(*loop, servers, endpoint, 2);
+    CPPUNIT_ASSERT(result.answer);
+    CPPUNIT_ASSERT_EQUAL(200, result.answer->status);
+    Section("the request went over another connection", [&] {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server.connections());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, servers.open_connections());
+    });
+  }
+
+  /// Guards against at-most-once requests that are lost after a stall: they
+  /// were sent on a connection whose end the kernel had received already.
+  void RequestsAreNotSentOnConnectionsThatEnded() {
+    auto loop = std::move(*net::EventLoop::Create());
+    const Endpoint endpoint{"127.0.0.1", kPorts.At(9)};
+    ServerConnections servers(*loop, {}, &MatchesRequest);
+    RawServer server(*loop, endpoint,
+                     "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", false);
+    CPPUNIT_ASSERT(Exchange(*loop, servers, endpoint, 1).answer);
+    server.Shutdown();
+    const ExchangeResult result = Exchange(*loop, servers, endpoint, 2);
+    CPPUNIT_ASSERT(!result.failure);
+    CPPUNIT_ASSERT(result.answer);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServerConnectionsTest);
