Report no conflict for a change that may be the newest version

Cause: a change was refused as a conflict, "not accepted", as soon as a peer announced a version above its base. When a change is repeated whose first write was accepted late, that version can be its own: the announcement may be handled before the head that shows it, for instance after a stall between the store's reply and its handling, or when the store was restored.

A version that is only known from peers now makes the instance catch up first; its head shows whether it contains the change.

--- a/src/libs/controlplane/config_apply.cc
+++ b/src/libs/controlplane/config_apply.cc
@@ -155,8 +155,14 @@
   }
   const auto stored_version = stored ? stored->version : ConfigVersion();
   const auto current = std::max(stored_version, HighestKnown(context.plane));
-  if (run.request.based_on != current) return FinishConflict(context, current);
-  if (InstalledVersion(context.plane) < current) {
+  const bool is_held = InstalledVersion(context.plane) == current;
+  // A version that is only known from peers may be this change's own: which
+  // changes it contains is seen once this instance holds it.
+  const bool sees_changes = is_held || stored_version == current;
+  if (sees_changes && run.request.based_on != current) {
+    return FinishConflict(context, current);
+  }
+  if (!is_held) {
     // Unchanged chunks can only be reused from a version that this instance
     // holds.
     if (stored != nullptr)
@@ -266,9 +272,8 @@
                     "the store does not say whether the change was accepted; "
                     "repeat it with the same change id");
     case ApplyStage::kCatchUp:
-      return FinishUnchanged(context,
-                             "this instance could not fetch the version "
-                             "that the change is based on");
+      return FinishUnchanged(
+          context, "this instance could not fetch the newest version");
     default:
       return FinishUnchanged(
           context,
--- a/tests/auto/controlplane/configuration_test.cc
+++ b/tests/auto/controlplane/configuration_test.cc
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(OutagesChangeNothing);
   CPPUNIT_TEST(InstancesStartDuringAnOutage);
   CPPUNIT_TEST(RestoredStoresDoNotRevert);
+  CPPUNIT_TEST(AcceptedChangesAreNotReportedAsConflicts);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -201,6 +202,50 @@
     });
   }
 
+  /// Guards against "not accepted" for an accepted change: an instance hears of
+  /// the version that the change created before it can see who created it, and
+  /// the store's head that it reads is older.
+  void AcceptedChangesAreNotReportedAsConflicts() {
+    Fleet fleet(8, 4507);
+    StartAll(fleet);
+    fleet.Run(Seconds(5));
+    fleet.Apply(0, "a", ConfigVersion(), Content(1));
+    fleet.Run(Seconds(3));
+    const FakeStore older = fleet.store();
+    fleet.Kill(5);
+    fleet.Apply(0, "b", ConfigVersion(1), Content(2));
+    fleet.Run(Seconds(5));
+    CheckReply(fleet.operator_replies().back(), ResultCode::kDone);
+    fleet.store().Restore(older);
+    // Heartbeats reach instance 5; its fetches get no reply.
+    for (std::uint32_t i = 0; i < fleet.size(); ++i) {
+      if (i != 5) fleet.faults().cuts.insert({5, i});
+    }
+    fleet.Start(5);
+    fleet.Run(Seconds(5));
+    CPPUNIT_ASSERT(fleet.version(5) < ConfigVersion(2));
+    Section("a repeat at an instance that can't tell is no conflict", [&] {
+      fleet.Apply(5, "b", ConfigVersion(1), Content(2));
+      fleet.Run(Seconds(8));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{3}, fleet.operator_replies().size());
+      CheckReply(fleet.operator_replies().back(), ResultCode::kUnavailable);
+    });
+    Section("a repeat after the instance has caught up is recognised", [&] {
+      fleet.faults().cuts.clear();
+      fleet.Run(Seconds(10));
+      fleet.Apply(5, "b", ConfigVersion(1), Content(2));
+      fleet.Run(Seconds(8));
+      CheckReply(fleet.operator_replies().back(), ResultCode::kDone);
+      CPPUNIT_ASSERT(fleet.operator_replies().back().version ==
+                     ConfigVersion(2));
+    });
+    Section("another change on the old version is a conflict", [&] {
+      fleet.Apply(5, "c", ConfigVersion(1), Content(3));
+      fleet.Run(Seconds(8));
+      CheckReply(fleet.operator_replies().back(), ResultCode::kConflict);
+    });
+  }
+
  private:
   static void Measure(std::uint32_t n) {
     Fleet fleet(n, 4500 + n, n > 100 ? 6 : 3);
