Show that failures agree with what the server read

The connection ends in the turn in which the request is written, on a reused and on a new connection: "connect failed" is reported exactly if the server has read no byte.

--- a/tests/auto/gateway/server_connections_test.cc
+++ b/tests/auto/gateway/server_connections_test.cc
@@ -5,6 +5,7 @@
 #include <event2/buffer.h>
 #include <event2/listener.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <optional>
@@ -52,6 +53,8 @@
     const ssize_t n = send(fd, bytes.data(), bytes.size(), 0);
     CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(bytes.size()), n);
   }
+  /// Number of times that input was read.
+  int reads() const { return reads_; }
   /// Ends the last connection at once.
   void Shutdown() const {
     shutdown(bufferevent_getfd(connections_.back()), SHUT_WR);
@@ -73,6 +76,7 @@
     evbuffer_drain(bufferevent_get_input(bev), 4096);
     bufferevent_write(bev, it.bytes_.data(), it.bytes_.size());
     it.has_answered_ = true;
+    ++it.reads_;
   }
   static void OnWritten(bufferevent* bev, void* self) {
     auto& it = *static_cast<RawServer*>(self);
@@ -85,6 +89,7 @@
   bool closes_;
   /// libevent also reports an empty output before anything is written.
   bool has_answered_ = false;
+  int reads_ = 0;
   evconnlistener* listener_ = nullptr;
   std::vector<bufferevent*> connections_;
 };
@@ -130,6 +135,7 @@
   CPPUNIT_TEST(RequestSentInALateTurnIsNotReportedAsUnsent);
   CPPUNIT_TEST(AnswerThatArrivedBeforeTheRequestIsNotItsAnswer);
   CPPUNIT_TEST(RequestsAreNotSentOnConnectionsThatEnded);
+  CPPUNIT_TEST(FailuresAgreeWithWhatTheServerRead);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -283,6 +289,54 @@
     CPPUNIT_ASSERT(!result.failure);
     CPPUNIT_ASSERT(result.answer);
   }
+
+  /// Guards against at-most-once requests that run twice: connect, write and
+  /// the end of the connection fall into one turn of the event loop.
+  void FailuresAgreeWithWhatTheServerRead() {
+    auto loop = std::move(*net::EventLoop::Create());
+    ServerConnections servers(*loop, {}, &MatchesRequest);
+    std::optional<AttemptFailure> failure;
+    servers.signal_failure().connect([&](const ExchangeFailure& it) {
+      failure = it.failure;
+      loop->Stop();
+    });
+    const auto send = [&](std::uint64_t attempt, const Endpoint& endpoint) {
+      servers.Send({AttemptId(attempt), BackendServerId(1), endpoint,
+                    "GET / HTTP/1.1\r\nHost: h\r\n\r\n", false, "mine"});
+    };
+    const auto claims_unsent = [&] {
+      return failure == AttemptFailure::kConnectFailed;
+    };
+    Section("on a reused connection", [&] {
+      const Endpoint endpoint{"127.0.0.1", kPorts.At(10)};
+      RawServer server(*loop, endpoint,
+                       "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", false);
+      CPPUNIT_ASSERT(Exchange(*loop, servers, endpoint, 1).answer);
+      send(2, endpoint);
+      server.Shutdown();
+      loop->Run();
+      for (int i = 0; i < 3; ++i) {
+        event_base_loop(loop->base(), EVLOOP_NONBLOCK);
+      }
+      CPPUNIT_ASSERT_EQUAL(claims_unsent(), server.reads() == 1);
+    });
+    Section("on a new connection", [&] {
+      const Endpoint endpoint{"127.0.0.1", kPorts.At(11)};
+      const auto address = net::ToSocketAddress(endpoint);
+      const int listener = socket(AF_INET, SOCK_STREAM, 0);
+      CPPUNIT_ASSERT(bind(listener, address->get(), address->size) == 0);
+      listen(listener, 1);
+      send(3, endpoint);
+      const int accepted = accept(listener, nullptr, nullptr);
+      shutdown(accepted, SHUT_WR);
+      loop->Run();
+      char byte = 0;
+      const bool is_empty = recv(accepted, &byte, 1, MSG_DONTWAIT) <= 0;
+      CPPUNIT_ASSERT_EQUAL(claims_unsent(), is_empty);
+      close(accepted);
+      close(listener);
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServerConnectionsTest);
