Keep callers' connections whose request waits unread

Cause: idle time, the time of a request's arrival and idle connections at a stop were judged by what callbacks had read. After a stall the timers are due first: a request that had arrived was answered with 408, or its connection was closed without an answer, so that the caller of an at-most-once request could not tell whether it ran.

A connection that is read and for which the kernel holds input is now left to its reading. The test that a request answered with 408 is not passed on now sends the rest after the 408 was decided; what it demands is unchanged.

--- a/src/plugins/gateway/caller_connections.cc
+++ b/src/plugins/gateway/caller_connections.cc
@@ -91,6 +91,13 @@
   return evbuffer_get_length(bufferevent_get_output(connection.bev));
 }
 
+/// Whether the kernel holds input that is about to be read. After a stall, the
+/// timers are due before a request that arrived in the meantime is read.
+bool HasUnreadInput(const CallerConnection& connection) {
+  const bool is_read = (bufferevent_get_enabled(connection.bev) & EV_READ) != 0;
+  return is_read && net::HasUnreadInput(bufferevent_getfd(connection.bev));
+}
+
 }  // namespace
 
 Expected<std::unique_ptr<CallerConnections>> CallerConnections::Listen(
@@ -277,7 +284,8 @@
     return now - connection.linger_started_at > kLingerTimeout;
   }
   if (!connection.pending_answers.empty()) return false;
-  return now - connection.last_activity_at > limits_.idle_timeout;
+  return now - connection.last_activity_at > limits_.idle_timeout &&
+         !HasUnreadInput(connection);
 }
 
 void CallerConnections::Sweep(TimePoint now) {
@@ -288,7 +296,8 @@
       expired.push_back(id);
     } else if (connection->parser.in_message() && !connection->discards_input &&
                now - connection->message_started_at > limits_.header_timeout &&
-               now - connection->last_activity_at > limits_.header_timeout) {
+               now - connection->last_activity_at > limits_.header_timeout &&
+               !HasUnreadInput(*connection)) {
       stalled.push_back(connection.get());
     }
   }
@@ -299,10 +308,10 @@
 void CallerConnections::CloseIdle() {
   std::vector<std::uint64_t> idle;
   for (const auto& [id, connection] : connections_) {
-    const bool is_busy = !connection->pending_answers.empty() ||
-                         connection->parser.in_message() ||
-                         connection->is_lingering ||
-                         UnsentBytes(*connection) > 0;
+    const bool is_busy =
+        !connection->pending_answers.empty() ||
+        connection->parser.in_message() || connection->is_lingering ||
+        UnsentBytes(*connection) > 0 || HasUnreadInput(*connection);
     if (!is_busy) idle.push_back(id);
   }
   for (const std::uint64_t it : idle) StartLinger(*connections_.at(it));
--- a/tests/auto/gateway/caller_connections_test.cc
+++ b/tests/auto/gateway/caller_connections_test.cc
@@ -5,6 +5,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include "libs/net/http_server.h"
@@ -41,10 +42,12 @@
   RawCaller(const RawCaller&) = delete;
   RawCaller& operator=(const RawCaller&) = delete;
 
-  /// Hands the bytes to the kernel at once.
+  /// Hands the bytes to the peer's kernel at once.
   void Send(const std::string& bytes) {
-    const ssize_t n =
-        send(bufferevent_getfd(bev_), bytes.data(), bytes.size(), 0);
+    const int fd = bufferevent_getfd(bev_);
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    const ssize_t n = send(fd, bytes.data(), bytes.size(), 0);
     CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(bytes.size()), n);
   }
 
@@ -83,6 +86,7 @@
   CPPUNIT_TEST(AmbiguousRequestsAreRejected);
   CPPUNIT_TEST(ClosedCallerConnectionIsReported);
   CPPUNIT_TEST(TimedOutRequestsAreNotPassedOn);
+  CPPUNIT_TEST(RequestsThatWaitUnreadAreNotTimedOut);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -184,8 +188,54 @@
     CPPUNIT_ASSERT(call && left == call);
   }
 
-  /// Guards against a 408 for a request that was passed on: after a stall, the
-  /// rest of a request and the timeout of its arrival are due in the same turn.
+  /// Guards against requests that are lost after a stall: the timers are due
+  /// before a request is read that has arrived in the meantime.
+  void RequestsThatWaitUnreadAreNotTimedOut() {
+    auto loop = std::move(*net::EventLoop::Create());
+    const Endpoint endpoint{"127.0.0.1", kPorts.At(7)};
+    auto callers = std::move(*CallerConnections::Listen(*loop, endpoint));
+    int requests = 0;
+    callers->signal_request().connect([&](CallId call, http1::Request&) {
+      ++requests;
+      callers->Answer(call, {200, {}, "a", true}, false);
+    });
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
+    const std::string request = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+    RawCaller caller(*loop, endpoint, request);
+    caller.stop_after = answer.size();
+    loop->Run();
+    const auto expect_answer = [&](const std::string& received) {
+      loop->Run();
+      CPPUNIT_ASSERT_EQUAL(received, caller.received);
+      CPPUNIT_ASSERT(!caller.is_closed);
+    };
+    Section("by the idle timeout", [&] {
+      caller.Send(request);
+      callers->Sweep(net::MonotonicNow() + Seconds(3600));
+      caller.stop_after += answer.size();
+      expect_answer(answer + answer);
+    });
+    Section("by the timeout of its arrival", [&] {
+      caller.Send(request.substr(0, 9));
+      for (int i = 0; i < 3; ++i) {
+        event_base_loop(loop->base(), EVLOOP_NONBLOCK);
+      }
+      caller.Send(request.substr(9));
+      callers->Sweep(net::MonotonicNow() + Seconds(3600));
+      caller.stop_after += answer.size();
+      expect_answer(answer + answer + answer);
+    });
+    Section("by a stop", [&] {
+      caller.Send(request);
+      callers->CloseIdle();
+      caller.stop_after += answer.size();
+      expect_answer(answer + answer + answer + answer);
+    });
+    CPPUNIT_ASSERT_EQUAL(4, requests);
+  }
+
+  /// Guards against a 408 for a request that was passed on: the rest of the
+  /// request arrives while the 408 waits for the answer before it.
   void TimedOutRequestsAreNotPassedOn() {
     auto loop = std::move(*net::EventLoop::Create());
     const Endpoint endpoint{"127.0.0.1", kPorts.At(6)};
@@ -198,8 +248,8 @@
     RawCaller caller(*loop, endpoint,
                      "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\n");
     loop->Run();
-    caller.Send("Host: h\r\n\r\n");
     callers->Sweep(net::MonotonicNow() + Seconds(3600));
+    caller.Send("Host: h\r\n\r\n");
     event_base_loop(loop->base(), EVLOOP_NONBLOCK);
     callers->Answer(calls.front(), {200, {}, "one", true}, false);
     loop->Run();
