Remove an unused query that may be untrue

FrameClient::IsConnected invited the claim that nothing was sent while it returns false. That can be untrue: the kernel may have taken frames before the callback that sets it runs. Nothing used it.

--- a/src/libs/net/frame_stream.cc
+++ b/src/libs/net/frame_stream.cc
@@ -158,11 +158,6 @@
   WriteFrame(link->bev.get(), bytes);
 }
 
-bool FrameClient::IsConnected(const Endpoint& peer) const {
-  const auto it = links_.find(peer);
-  return it != links_.end() && it->second->connected;
-}
-
 void FrameClient::OnReadable(bufferevent* bev, void* link) {
   auto* it = static_cast<Link*>(link);
   FrameClient* client = it->client;
--- a/src/libs/net/frame_stream.h
+++ b/src/libs/net/frame_stream.h
@@ -81,9 +81,6 @@
   FrameClient& operator=(const FrameClient&) = delete;
 
   void Send(const Endpoint& peer, const std::string& bytes);
-  /// Whether the connection to `peer` is established. If so, frames that were
-  /// sent on it may have arrived.
-  bool IsConnected(const Endpoint& peer) const;
 
   /// A frame was received from the peer at that endpoint.
   sigc::signal<void(const Endpoint&, const std::string&)>& signal_frame() {
