--- a/tests/auto/gateway/caller_connections_test.cc
+++ b/tests/auto/gateway/caller_connections_test.cc
@@ -5,6 +5,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include "libs/net/http_server.h"
 #include "libs/net/socket_address.h"
@@ -40,6 +42,15 @@
   RawCaller(const RawCaller&) = delete;
   RawCaller& operator=(const RawCaller&) = delete;
 
+  /// Hands the bytes to the peer's kernel at once.
+  void Send(const std::string& bytes) {
+    const int fd = bufferevent_getfd(bev_);
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    const ssize_t n = send(fd, bytes.data(), bytes.size(), 0);
+    CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(bytes.size()), n);
+  }
+
   /// The loop stops after this many bytes (0: no limit), or at the end of the
   /// connection.
   std::size_t stop_after = 0;
@@ -75,6 +86,8 @@
   CPPUNIT_TEST(AmbiguousRequestsAreRejected);
   CPPUNIT_TEST(ClosedCallerConnectionIsReported);
   CPPUNIT_TEST(ClosingAnswerIsTheLastOfTheRequestsPassedOn);
+  CPPUNIT_TEST(TimedOutRequestsAreNotPassedOn);
+  CPPUNIT_TEST(RequestsThatWaitUnreadAreNotTimedOut);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -176,11 +189,86 @@
     CPPUNIT_ASSERT(call && left == call);
   }
 
+  /// Guards against requests that are lost after a stall: the timers are due
+  /// before a request is read that has arrived in the meantime.
+  void RequestsThatWaitUnreadAreNotTimedOut() {
+    auto loop = std::move(*net::EventLoop::Create());
+    const Endpoint endpoint{"127.0.0.1", kPorts.At(7)};
+    auto callers = std::move(*CallerConnections::Listen(*loop, endpoint));
+    int requests = 0;
+    callers->signal_request().connect([&](CallId call, http1::Request&) {
+      ++requests;
+      callers->Answer(call, {200, {}, "a", true}, false);
+    });
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
+    const std::string request = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+    RawCaller caller(*loop, endpoint, request);
+    caller.stop_after = answer.size();
+    loop->Run();
+    const auto expect_answer = [&](const std::string& received) {
+      loop->Run();
+      CPPUNIT_ASSERT_EQUAL(received, caller.received);
+      CPPUNIT_ASSERT(!caller.is_closed);
+    };
+    Section("by the idle timeout", [&] {
+      caller.Send(request);
+      callers->Sweep(net::MonotonicNow() + Seconds(3600));
+      caller.stop_after += answer.size();
+      expect_answer(answer + answer);
+    });
+    Section("by the timeout of its arrival", [&] {
+      caller.Send(request.substr(0, 9));
+      for (int i = 0; i < 3; ++i) {
+        event_base_loop(loop->base(), EVLOOP_NONBLOCK);
+      }
+      caller.Send(request.substr(9));
+      callers->Sweep(net::MonotonicNow() + Seconds(3600));
+      caller.stop_after += answer.size();
+      expect_answer(answer + answer + answer);
+    });
+    Section("by a stop", [&] {
+      caller.Send(request);
+      callers->CloseIdle();
+      caller.stop_after += answer.size();
+      expect_answer(answer + answer + answer + answer);
+    });
+    CPPUNIT_ASSERT_EQUAL(4, requests);
+  }
+
+  /// Guards against a 408 for a request that was passed on: the rest of the
+  /// request arrives while the 408 waits for the answer before it.
+  void TimedOutRequestsAreNotPassedOn() {
+    auto loop = std::move(*net::EventLoop::Create());
+    const Endpoint endpoint{"127.0.0.1", kPorts.At(6)};
+    auto callers = std::move(*CallerConnections::Listen(*loop, endpoint));
+    std::vector<CallId> calls;
+    callers->signal_request().connect([&](CallId call, http1::Request&) {
+      calls.push_back(call);
+      loop->Stop();
+    });
+    RawCaller caller(*loop, endpoint,
+                     "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\n");
+    loop->Run();
+    callers->Sweep(net::MonotonicNow() + Seconds(3600));
+    caller.Send("Host: h\r\n\r\n");
+    event_base_loop(loop->base(), EVLOOP_NONBLOCK);
+    callers->Answer(calls.front(), {200, {}, "one", true}, false);
+    loop->Run();
+    Section("the request before it gets its own answer", [&] {
+      CPPUNIT_ASSERT(caller.received.starts_with(
+          "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\noneHTTP/1.1 408 "));
+    });
+    Section("the rest of the timed out request is dropped", [&] {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, calls.size());
+      CPPUNIT_ASSERT(caller.is_closed);
+    });
+  }
+
   /// Guards against requests that run twice: callers take those behind a
   /// closing answer for unread and send them again.
   void ClosingAnswerIsTheLastOfTheRequestsPassedOn() {
     auto loop = std::move(*net::EventLoop::Create());
-    const Endpoint endpoint{"127.0.0.1", kPorts.At(7)};
+    const Endpoint endpoint{"127.0.0.1", kPorts.At(8)};
     auto callers = std::move(*CallerConnections::Listen(*loop, endpoint));
     std::vector<CallId> calls;
     std::vector<CallId> left;
--- a/tests/auto/gateway/sent_bytes_test.cc
+++ b/tests/auto/gateway/sent_bytes_test.cc
@@ -78,7 +78,8 @@
 class SentBytesTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SentBytesTest);
   CPPUNIT_TEST(PartlyWrittenRequestIsNotReportedAsUnsent);
-  CPPUNIT_TEST(RequestOnAConnectionThatEndedIsReportedAsUnsent);
+  CPPUNIT_TEST(ConnectionWhoseEndIsReadIsNotUsed);
+  CPPUNIT_TEST(BytesOfTheLatestRequestAreCounted);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -99,21 +100,40 @@
   }
 
   /// Guards against 502 answers to requests of which no byte was sent: the
-  /// connection's end has been read when the request takes the connection.
-  void RequestOnAConnectionThatEndedIsReportedAsUnsent() {
+  /// connection's end has been read, but not reported, when a request is sent.
+  void ConnectionWhoseEndIsReadIsNotUsed() {
     Client client(kPorts.At(2));
     const RawSocket listener = RawSocket::Listen(kPorts.At(2));
     RawSocket peer = LeaveIdleConnection(client, listener);
+    client.answered.reset();
     peer.Close();
     // In one turn: the end is read, the timer sends, the end is reported.
-    const std::string longer = std::string(kRequest) + kRequest;
     const net::Timer send(*client.loop, net::Timer::Kind::kOnce,
-                          Duration::zero(), [&] { client.Send(2, longer); });
+                          Duration::zero(), [&] { client.Send(2, kRequest); });
+    CPPUNIT_ASSERT(client.TurnUntil([&] { return listener.IsReadable(); }));
+    const RawSocket next = listener.Accept();
+    CPPUNIT_ASSERT(client.TurnUntil([&] { return next.IsReadable(); }));
+    next.Write(kAnswer);
+    CPPUNIT_ASSERT(
+        client.TurnUntil([&] { return client.answered == AttemptId(2); }));
+    CPPUNIT_ASSERT(!client.failure);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, client.servers.opened());
+  }
+
+  /// Guards against a count that is left from a connection's earlier request.
+  void BytesOfTheLatestRequestAreCounted() {
+    Client client(kPorts.At(3));
+    const RawSocket listener = RawSocket::Listen(kPorts.At(3));
+    RawSocket peer = LeaveIdleConnection(client, listener);
+    const std::string longer = std::string(kRequest) + kRequest;
+    client.Send(2, longer);
+    CPPUNIT_ASSERT(client.TurnUntil([&] { return peer.IsReadable(); }));
+    peer.Close();
     CPPUNIT_ASSERT(
         client.TurnUntil([&] { return client.failure.has_value(); }));
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, client.servers.opened());
-    CPPUNIT_ASSERT(client.failure->failure == AttemptFailure::kConnectFailed);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, client.failure->written);
+    CPPUNIT_ASSERT(client.failure->failure == AttemptFailure::kConnectionLost);
+    CPPUNIT_ASSERT_EQUAL(longer.size(), client.failure->written);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, client.failure->unwritten);
   }
 };
 
--- a/tests/auto/gateway/server_connections_test.cc
+++ b/tests/auto/gateway/server_connections_test.cc
@@ -4,6 +4,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <event2/buffer.h>
 #include <event2/listener.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <optional>
@@ -45,6 +47,18 @@
   RawServer& operator=(const RawServer&) = delete;
 
   std::size_t connections() const { return connections_.size(); }
+  /// Sends bytes on the last connection at once, as during a stall of the peer.
+  void SendUnasked(const std::string& bytes) const {
+    const int fd = bufferevent_getfd(connections_.back());
+    const ssize_t n = send(fd, bytes.data(), bytes.size(), 0);
+    CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(bytes.size()), n);
+  }
+  /// Number of times that input was read.
+  int reads() const { return reads_; }
+  /// Ends the last connection at once.
+  void Shutdown() const {
+    shutdown(bufferevent_getfd(connections_.back()), SHUT_WR);
+  }
 
  private:
   static void OnAccept(evconnlistener* /*listener*/, evutil_socket_t fd,
@@ -62,6 +76,7 @@
     evbuffer_drain(bufferevent_get_input(bev), 4096);
     bufferevent_write(bev, it.bytes_.data(), it.bytes_.size());
     it.has_answered_ = true;
+    ++it.reads_;
   }
   static void OnWritten(bufferevent* bev, void* self) {
     auto& it = *static_cast<RawServer*>(self);
@@ -74,6 +89,7 @@
   bool closes_;
   /// libevent also reports an empty output before anything is written.
   bool has_answered_ = false;
+  int reads_ = 0;
   evconnlistener* listener_ = nullptr;
   std::vector<bufferevent*> connections_;
 };
@@ -117,6 +133,9 @@
   CPPUNIT_TEST(ExtraBytesCloseTheConnection);
   CPPUNIT_TEST(FailedExchangesAreReported);
   CPPUNIT_TEST(RequestSentInALateTurnIsNotReportedAsUnsent);
+  CPPUNIT_TEST(AnswerThatArrivedBeforeTheRequestIsNotItsAnswer);
+  CPPUNIT_TEST(RequestsAreNotSentOnConnectionsThatEnded);
+  CPPUNIT_TEST(FailuresAgreeWithWhatTheServerRead);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -234,6 +253,90 @@
       CPPUNIT_ASSERT(failure == AttemptFailure::kConnectFailed);
     });
   }
+
+  /// Guards against at-most-once requests that run twice: an answer "not run"
+  /// without a request ID waits unread on an idle connection during a stall,
+  /// and would be taken for the answer to the next request on it.
+  void AnswerThatArrivedBeforeTheRequestIsNotItsAnswer() {
+    auto loop = std::move(*net::EventLoop::Create());
+    const Endpoint endpoint{"127.0.0.1", kPorts.At(8)};
+    ServerConnections servers(*loop, {}, &MatchesRequest);
+    RawServer server(*loop, endpoint,
+                     "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", false);
+    CPPUNIT_ASSERT(Exchange(*loop, servers, endpoint, 1).answer);
+    server.SendUnasked(
+        "HTTP/1.1 503 Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    const ExchangeResult result = Exchange(*loop, servers, endpoint, 2);
+    CPPUNIT_ASSERT(result.answer);
+    CPPUNIT_ASSERT_EQUAL(200, result.answer->status);
+    Section("the request went over another connection", [&] {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server.connections());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, servers.open_connections());
+    });
+  }
+
+  /// Guards against at-most-once requests that are lost after a stall: they
+  /// were sent on a connection whose end the kernel had received already.
+  void RequestsAreNotSentOnConnectionsThatEnded() {
+    auto loop = std::move(*net::EventLoop::Create());
+    const Endpoint endpoint{"127.0.0.1", kPorts.At(9)};
+    ServerConnections servers(*loop, {}, &MatchesRequest);
+    RawServer server(*loop, endpoint,
+                     "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", false);
+    CPPUNIT_ASSERT(Exchange(*loop, servers, endpoint, 1).answer);
+    server.Shutdown();
+    const ExchangeResult result = Exchange(*loop, servers, endpoint, 2);
+    CPPUNIT_ASSERT(!result.failure);
+    CPPUNIT_ASSERT(result.answer);
+  }
+
+  /// Guards against at-most-once requests that run twice: connect, write and
+  /// the end of the connection fall into one turn of the event loop.
+  void FailuresAgreeWithWhatTheServerRead() {
+    auto loop = std::move(*net::EventLoop::Create());
+    ServerConnections servers(*loop, {}, &MatchesRequest);
+    std::optional<AttemptFailure> failure;
+    servers.signal_failure().connect([&](const ExchangeFailure& it) {
+      failure = it.failure;
+      loop->Stop();
+    });
+    const auto send = [&](std::uint64_t attempt, const Endpoint& endpoint) {
+      servers.Send({AttemptId(attempt), BackendServerId(1), endpoint,
+                    "GET / HTTP/1.1\r\nHost: h\r\n\r\n", false, "mine"});
+    };
+    const auto claims_unsent = [&] {
+      return failure == AttemptFailure::kConnectFailed;
+    };
+    Section("on a reused connection", [&] {
+      const Endpoint endpoint{"127.0.0.1", kPorts.At(10)};
+      RawServer server(*loop, endpoint,
+                       "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", false);
+      CPPUNIT_ASSERT(Exchange(*loop, servers, endpoint, 1).answer);
+      send(2, endpoint);
+      server.Shutdown();
+      loop->Run();
+      for (int i = 0; i < 3; ++i) {
+        event_base_loop(loop->base(), EVLOOP_NONBLOCK);
+      }
+      CPPUNIT_ASSERT_EQUAL(claims_unsent(), server.reads() == 1);
+    });
+    Section("on a new connection", [&] {
+      const Endpoint endpoint{"127.0.0.1", kPorts.At(11)};
+      const auto address = net::ToSocketAddress(endpoint);
+      const int listener = socket(AF_INET, SOCK_STREAM, 0);
+      CPPUNIT_ASSERT(bind(listener, address->get(), address->size) == 0);
+      listen(listener, 1);
+      send(3, endpoint);
+      const int accepted = accept(listener, nullptr, nullptr);
+      shutdown(accepted, SHUT_WR);
+      loop->Run();
+      char byte = 0;
+      const bool is_empty = recv(accepted, &byte, 1, MSG_DONTWAIT) <= 0;
+      CPPUNIT_ASSERT_EQUAL(claims_unsent(), is_empty);
+      close(accepted);
+      close(listener);
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServerConnectionsTest);
