Divide servers among instances while requests are rare

A change of weights left 84 requests a second for 102 servers, and in 2 s only 59 of them got one. Cause, shown in virtual time: every instance prefers the servers to which it happens to have an open connection, independently of the others. With recent reports these servers also look less loaded than the mean that is assumed of the others.

The advertised instances of a zone now divide its servers evenly among them: each starts at its place in the order of ids, and uses its share in turn, the least recently used first, or as many servers as it reaches within a second, since other instances may have no callers. If requests are so rare that no connection stays open, or no share is set, as in the product's own daemon, the choice is as before.

Rendezvous hashing was not tried: its shares are uneven, and in the order of ids few servers move, too.

--- a/src/libs/gateway/directory.cc
+++ b/src/libs/gateway/directory.cc
@@ -41,9 +41,17 @@
                                 const std::string& name,
                                 const DirectorySettings& settings) {
   const auto advertised = AdvertisedMembers(members, settings);
-  return {
-      advertised.size(),
-      std::ranges::find(advertised, name, &Member::name) != advertised.end()};
+  DirectoryState state;
+  state.advertised_instances = advertised.size();
+  const auto self = std::ranges::find(advertised, name, &Member::name);
+  state.is_advertised = self != advertised.end();
+  if (!state.is_advertised) return state;
+  const auto is_in_zone = [&](const Member& it) {
+    return it.zone == self->zone;
+  };
+  state.zone_instances = std::ranges::count_if(advertised, is_in_zone);
+  state.zone_place = std::count_if(advertised.begin(), self, is_in_zone);
+  return state;
 }
 
 std::vector<Endpoint> AddressesFor(std::span<const Member> members,
--- a/src/libs/gateway/directory.h
+++ b/src/libs/gateway/directory.h
@@ -54,6 +54,11 @@
   /// Whether this instance is advertised. Other instances get a retry burst of
   /// one, since too few requests reach them to accumulate a retry budget.
   bool is_advertised = true;
+  /// Number of advertised instances in this instance's zone, and its place
+  /// among them. They divide the servers of the zone among them when requests
+  /// are rare. 0 if it is not advertised.
+  std::size_t zone_instances = 0;
+  std::size_t zone_place = 0;
 
   bool operator==(const DirectoryState&) const = default;
 };
--- a/src/libs/gateway/services.cc
+++ b/src/libs/gateway/services.cc
@@ -100,11 +100,11 @@
 /// Divides the fleet's retry burst among the advertised instances, 1 to 100 for
 /// each; other instances get a burst of one.
 routing::RetryAllowance AllowanceOf(const Forwarder& forwarder) {
-  const auto& [instances, is_advertised] = forwarder.directory_state;
+  const DirectoryState& directory = forwarder.directory_state;
+  const std::size_t instances =
+      std::max<std::size_t>(directory.advertised_instances, 1);
   const std::size_t burst =
-      is_advertised
-          ? forwarder.settings.retry_slack / std::max<std::size_t>(instances, 1)
-          : 1;
+      directory.is_advertised ? forwarder.settings.retry_slack / instances : 1;
   routing::RetryAllowance allowance;
   allowance.percent = forwarder.settings.retry_percent;
   allowance.burst =
@@ -217,6 +217,8 @@
                          forwarder.directory_state.advertised_instances,
                          context.now);
   routing::SetRetryAllowance(*service.router, AllowanceOf(forwarder));
+  routing::SetShare(*service.router, {forwarder.directory_state.zone_instances,
+                                      forwarder.directory_state.zone_place});
 }
 
 void ApplyServers(Context& context) {
--- a/src/libs/routing/choice.cc
+++ b/src/libs/routing/choice.cc
@@ -5,6 +5,8 @@
 #include <span>
 #include <string>
 
+#include "libs/routing/share.h"
+
 namespace ibisladder::routing::Internal {
 namespace {
 
@@ -302,6 +304,11 @@
   }
   const bool prefer_own =
       router.choice.own_zone_max_load > 0 && OwnZoneAnswers(router);
+  if (prefer_own) {
+    if (const auto it = PickFromShare(router, request, now, random)) {
+      return Dispatch{router.servers[*it].id, "own share"};
+    }
+  }
   ChoiceContext near_context = context;
   near_context.allow_warming = false;
   const auto near = prefer_own
--- a/src/libs/routing/router.cc
+++ b/src/libs/routing/router.cc
@@ -6,6 +6,7 @@
 
 #include "libs/routing/choice.h"
 #include "libs/routing/router_state.h"
+#include "libs/routing/share.h"
 
 namespace ibisladder::routing {
 
@@ -72,6 +73,7 @@
 void CountDispatch(Router& router, const RoutingRequest& request,
                    BackendServerId id, TimePoint now) {
   ServerLoad& server = router.servers[router.index.at(id)];
+  server.last_sent_at = now;
   ++server.in_flight;
   ++router.in_flight;
   if (detection::IsOnTrial(server.state)) {
@@ -222,6 +224,12 @@
   router.choice = settings;
 }
 
+void SetShare(Router& router, const Share& share) {
+  if (router.share == share) return;
+  router.share = share;
+  Internal::RebuildShareOrder(router);
+}
+
 void UpdateSettings(Router& router, const declarations::Service& service) {
   router.warm_up = service.warm_up;
   router.queue_limit = service.queue_limit;
@@ -264,6 +272,7 @@
   router.in_flight = in_flight;
   router.users_per_server = std::max<std::size_t>(users_per_server, 1);
   Internal::RebuildLists(router);
+  Internal::RebuildShareOrder(router);
 }
 
 Placement Place(Router& router, const RoutingRequest& request, TimePoint now,
--- a/src/libs/routing/router.h
+++ b/src/libs/routing/router.h
@@ -125,6 +125,17 @@
   Duration at_most_once_trial_delay{};
 };
 
+/// An instance's place among those that divide the servers of its zone among
+/// them when requests are rare.
+struct Share {
+  /// Number of these instances; 0: servers are not divided.
+  std::size_t instances = 0;
+  /// Below `instances`.
+  std::size_t place = 0;
+
+  bool operator==(const Share&) const = default;
+};
+
 /// Decision of Pump for a queued call.
 struct Placed {
   CallId call;
@@ -150,6 +161,8 @@
 /// Without it, retries after sheds have a generous budget of their own.
 /// UpdateSettings replaces its percentage.
 void SetRetryAllowance(Router& router, const RetryAllowance& allowance);
+/// Without a share, rare requests go to servers with an open connection.
+void SetShare(Router& router, const Share& share);
 /// Known servers keep their load state. `users_per_server` is the number of
 /// instances that use each server: connections are divided among them, and
 /// trial requests are spaced out for them.
--- a/src/libs/routing/router_state.h
+++ b/src/libs/routing/router_state.h
@@ -24,6 +24,10 @@
   std::size_t queue_limit = 0;
   std::size_t users_per_server = 1;
   ChoiceSettings choice;
+  Share share;
+  /// Indexes of the servers of the own zone in the order in which this instance
+  /// prefers them when requests are rare; empty without a share.
+  std::vector<std::uint32_t> share_order;
   std::vector<Internal::ServerLoad> servers;
   std::unordered_map<BackendServerId, std::uint32_t> index;
   /// Indexes of open servers by kind.
--- a/src/libs/routing/server_load.h
+++ b/src/libs/routing/server_load.h
@@ -41,6 +41,7 @@
   TimePoint last_trial;
   /// When its current trial began.
   TimePoint trial_since;
+  TimePoint last_sent_at;
   /// When its last good answer arrived.
   TimePoint answered_at;
 };
--- /dev/null
+++ b/src/libs/routing/share.h
@@ -0,0 +1,27 @@
+#ifndef LIBS_ROUTING_SHARE_H_
+#define LIBS_ROUTING_SHARE_H_
+
+#include <cstdint>
+#include <optional>
+
+#include "libs/routing/router_state.h"
+
+/// Divides the servers of a service among the instances that callers use, so
+/// that rare requests reach all servers over few connections.
+namespace ibisladder::routing::Internal {
+
+/// Rebuilds the order in which this instance prefers the servers of its zone.
+void RebuildShareOrder(Router& router);
+
+/// Returns the server that is due for a request of this instance: the least
+/// loaded of those that it uses in turn, and among equal ones the one that it
+/// used least recently. None if requests are frequent enough to reach all
+/// servers of the own zone anyway, or too rare to find a connection open, or if
+/// no such server is idle.
+std::optional<std::uint32_t> PickFromShare(const Router& router,
+                                           const RoutingRequest& request,
+                                           TimePoint now, Random& random);
+
+}  // namespace ibisladder::routing::Internal
+
+#endif  // LIBS_ROUTING_SHARE_H_
--- a/tests/auto/gateway/directory_test.cc
+++ b/tests/auto/gateway/directory_test.cc
@@ -4,6 +4,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <map>
+#include <set>
 
 #include "tests/auto/support/story.h"
 
@@ -31,6 +33,7 @@
   CPPUNIT_TEST_SUITE(DirectoryTest);
   CPPUNIT_TEST(CallersGetFewInstancesOfTheirZone);
   CPPUNIT_TEST(EachInstanceKnowsWhetherItIsAdvertised);
+  CPPUNIT_TEST(AdvertisedInstancesOfAZoneHaveDifferentPlaces);
   CPPUNIT_TEST(OneAddressChangesWhenAnInstanceLeaves);
   CPPUNIT_TEST_SUITE_END();
 
@@ -48,6 +51,23 @@
     CPPUNIT_ASSERT_EQUAL(advertised, in_use);
   }
 
+  void AdvertisedInstancesOfAZoneHaveDifferentPlaces() {
+    const DirectorySettings settings;
+    const auto members = MakeMembers(8);
+    std::map<ZoneName, std::set<std::size_t>> places;
+    for (const Member& it : members) {
+      const DirectoryState state = DirectoryStateOf(members, it.name, settings);
+      if (!state.is_advertised) {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, state.zone_instances);
+        continue;
+      }
+      CPPUNIT_ASSERT_EQUAL(settings.instances_per_zone, state.zone_instances);
+      CPPUNIT_ASSERT(state.zone_place < state.zone_instances);
+      CPPUNIT_ASSERT(places[it.zone].insert(state.zone_place).second);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, places.size());
+  }
+
   void CallersGetFewInstancesOfTheirZone() {
     const DirectorySettings settings;
     Section("as many addresses as configured, of the caller's zone", [&] {
