Reach other zones' servers while many requests go unserved

Servers in zones without callers get nothing until the servers of the callers' zone are 75% loaded, also while a tenth of the requests go unserved and users expect requests at 70% of the servers. What goes unserved may belong to another service of a split route, so the router's own attempts don't show it.

The forwarder now keeps, for each service, the ratio of unserved calls of all routes that use it. From 7% on, of calls or of attempts, an instance sends a request every 1.5 s to each server of its share of the other zones, unless a report of the last 20 s shows other instances' requests there. It does so only with the requests that it has left, as many as exceed its zone's servers within 2 s: an instance with few requests relies on the other zones' own callers.

The tests fail without it: 26 of 102 servers got requests. So they do if the router's own attempts alone count.

Open: with so few requests that they don't exceed the zone's servers, zones without callers still get none.

--- a/src/libs/gateway/forwarder_state.h
+++ b/src/libs/gateway/forwarder_state.h
@@ -33,6 +33,9 @@
   routing::RouterPtr router;
   std::map<BackendServerId, KnownServer> servers;
   TimePoint evidence_shared_at;
+  /// Moving average: fraction of the calls of the service's routes that were
+  /// not served.
+  double unserved_calls = 0;
 };
 
 struct Attempt {
--- a/src/libs/gateway/requests.cc
+++ b/src/libs/gateway/requests.cc
@@ -30,6 +30,8 @@
 constexpr int kStatusUnavailable = 503;
 constexpr int kStatusTimeout = 504;
 constexpr int kFirstServerError = 500;
+/// Weight of the newest call in the ratio of unserved calls.
+constexpr double kUnservedWeight = 1.0 / 64;
 /// Maximum number of combinations of service, route and outcome before new ones
 /// are counted under the route "other".
 constexpr std::size_t kMaxTrafficKeys = 200;
@@ -100,6 +102,26 @@
          answer.status == kStatusUnavailable;
 }
 
+bool IsServed(const CallerAnswer& answer) {
+  return answer.code == ResultCode::kDone && answer.status < kFirstServerError;
+}
+
+/// Counts the call for each service that its route may send requests to: users
+/// expect requests at the servers of all of them when many go unserved.
+void CountUnserved(Context& context, const Call& call,
+                   const CallerAnswer& answer) {
+  const double unserved = IsServed(answer) ? 0 : 1;
+  for (const auto& it : call.route.services) {
+    const auto found =
+        context.forwarder.services.find(MakeServiceId(it.service));
+    if (found == context.forwarder.services.end()) continue;
+    ServiceState& service = found->second;
+    service.unserved_calls +=
+        kUnservedWeight * (unserved - service.unserved_calls);
+    routing::SetUnservedCalls(*service.router, service.unserved_calls);
+  }
+}
+
 std::string ServiceName(const Context& context, const Call& call) {
   const auto it = context.forwarder.services.find(call.service);
   return it == context.forwarder.services.end() ? "" : it->second.settings.name;
@@ -323,6 +345,7 @@
   Call& call = it->second;
   const bool is_refused = IsRefusal(answer);
   CountAnswer(context, call, answer);
+  CountUnserved(context, call, answer);
   Log(context, is_refused ? LogEvent::kCallRefused : LogEvent::kCallAnswered,
       {{"request", call.request->request_id},
        {"route", call.route.name},
--- a/src/libs/routing/choice.cc
+++ b/src/libs/routing/choice.cc
@@ -21,11 +21,6 @@
 /// Mean load per slot from which on capacity is scarce; the same as the default
 /// of ChoiceSettings::own_zone_max_load.
 constexpr double kBusyLoad = 0.75;
-/// From this fraction of unserved attempts on, at-most-once requests may go to
-/// servers on trial if the floor is not met. Users expect the fleet to meet the
-/// floor once a tenth is unserved, so the value is lower than that.
-constexpr double kHighUnservedRatio = 0.07;
-
 /// Maximum number of servers compared for one request, if one of them has
 /// capacity.
 constexpr std::size_t kMaxCompared = 32;
--- a/src/libs/routing/router.cc
+++ b/src/libs/routing/router.cc
@@ -230,6 +230,10 @@
   Internal::RebuildShareOrder(router);
 }
 
+void SetUnservedCalls(Router& router, double ratio) {
+  router.unserved_calls = ratio;
+}
+
 void UpdateSettings(Router& router, const declarations::Service& service) {
   router.warm_up = service.warm_up;
   router.queue_limit = service.queue_limit;
--- a/src/libs/routing/router.h
+++ b/src/libs/routing/router.h
@@ -163,6 +163,9 @@
 void SetRetryAllowance(Router& router, const RetryAllowance& allowance);
 /// Without a share, rare requests go to servers with an open connection.
 void SetShare(Router& router, const Share& share);
+/// Sets the fraction of calls that were not served, of all routes that use the
+/// service. Calls that a route sent to another service count, too.
+void SetUnservedCalls(Router& router, double ratio);
 /// Known servers keep their load state. `users_per_server` is the number of
 /// instances that use each server: connections are divided among them, and
 /// trial requests are spaced out for them.
--- a/src/libs/routing/router_state.h
+++ b/src/libs/routing/router_state.h
@@ -16,6 +16,11 @@
 namespace Internal {
 /// Longer gaps between first attempts count as this.
 constexpr Duration kMaxGap = Seconds(10);
+/// From this fraction of unserved attempts on, at-most-once requests may go to
+/// servers on trial if the floor is not met, and servers of other zones get
+/// requests. Users expect the fleet to meet the floor once a tenth is unserved,
+/// so the value is lower than that.
+constexpr double kHighUnservedRatio = 0.07;
 }  // namespace Internal
 
 struct Router {
@@ -25,8 +30,8 @@
   std::size_t users_per_server = 1;
   ChoiceSettings choice;
   Share share;
-  /// Indexes of the servers of the own zone in the order in which this instance
-  /// prefers them when requests are rare; empty without a share.
+  /// Indexes of all servers in the order in which this instance prefers them
+  /// when requests are rare; empty without a share.
   std::vector<std::uint32_t> share_order;
   std::vector<Internal::ServerLoad> servers;
   std::unordered_map<BackendServerId, std::uint32_t> index;
@@ -55,6 +60,9 @@
   /// Moving average: fraction of the attempts at servers not on trial that were
   /// not served.
   double unserved_ratio = 0;
+  /// Fraction of the calls of its routes that were not served; see
+  /// SetUnservedCalls.
+  double unserved_calls = 0;
   /// Mean number of other instances' requests per server, from load reports.
   double mean_other_load = 0;
   /// Mean time between first attempts on this instance, and the time of the
--- a/src/libs/routing/share.cc
+++ b/src/libs/routing/share.cc
@@ -10,6 +10,13 @@
 /// An instance uses as many servers in turn as it reaches within this time,
 /// even if they are more than its share: others may have no callers.
 constexpr Duration kTurn = Seconds(1);
+/// Users expect each server to get a request within this time while a tenth of
+/// the requests go unserved.
+constexpr Duration kServedWithin = Seconds(2);
+/// Shorter, so that each server gets a request in any such time.
+constexpr Duration kRevisit = Millis(1500);
+/// How long a report of other instances' requests shows that they use a server.
+constexpr Duration kReportHolds = Seconds(20);
 /// How long a server is not preferred after a failed request.
 constexpr Duration kAvoidFailed = Seconds(2);
 /// Loads are compared in steps of this load per slot, so that the age of
@@ -18,6 +25,23 @@
 
 using Indexes = std::vector<std::uint32_t>;
 
+/// Appends the servers of the own zone, or the others, ordered by id from the
+/// instance's place on. Ids are hashes; a change of one server moves each place
+/// by at most one.
+void AppendOrdered(Router& router, bool own_zone) {
+  Indexes list;
+  for (std::uint32_t it = 0; it < router.servers.size(); ++it) {
+    if (router.servers[it].own_zone == own_zone) list.push_back(it);
+  }
+  std::ranges::sort(list, {},
+                    [&](std::uint32_t it) { return router.servers[it].id; });
+  const std::size_t first =
+      list.size() * router.share.place / router.share.instances;
+  std::rotate(list.begin(), list.begin() + static_cast<std::ptrdiff_t>(first),
+              list.end());
+  router.share_order.insert(router.share_order.end(), list.begin(), list.end());
+}
+
 bool IsInService(const ServerLoad& server) {
   return server.state == detection::ServerState::kHealthy && !server.closed &&
          !server.draining;
@@ -48,12 +72,42 @@
   if (count >= servers) return preferred;
   for (const std::uint32_t it : router.share_order) {
     const ServerLoad& server = router.servers[it];
-    if (preferred.size() >= count) break;
+    if (preferred.size() >= count || !server.own_zone) break;
     if (IsInService(server)) preferred.push_back(it);
   }
   return preferred;
 }
 
+/// Whether so many attempts, or calls of the service's routes, go unserved that
+/// users expect requests at most of the servers.
+bool MustReachServers(const Router& router) {
+  return std::max(router.unserved_ratio, router.unserved_calls) >=
+         kHighUnservedRatio;
+}
+
+/// Returns the healthy servers of other zones that should get a request: not
+/// used lately, and without requests of other instances in the last report.
+/// None if the requests suffice only for the own zone.
+Indexes NeglectedServers(const Router& router, TimePoint now) {
+  const double spare = RequestsWithin(router, kServedWithin) -
+                       static_cast<double>(router.own_healthy.size());
+  const std::size_t others = router.healthy.size() - router.own_healthy.size();
+  const std::size_t share = others / router.share.instances + 1;
+  std::size_t seen = 0;
+  Indexes neglected;
+  for (const std::uint32_t it : router.share_order) {
+    const ServerLoad& server = router.servers[it];
+    if (server.own_zone || !IsInService(server)) continue;
+    if (seen >= share || static_cast<double>(seen) >= spare) break;
+    ++seen;
+    const bool used_by_others =
+        server.reported_others > 0 && now - server.reported_at < kReportHolds;
+    const bool used_here = now - server.last_sent_at < kRevisit;
+    if (!used_here && !used_by_others) neglected.push_back(it);
+  }
+  return neglected;
+}
+
 /// Returns requests in flight per slot as far as they are known. Servers
 /// without recent reports count as idle, as they are to be used in turn.
 double KnownLoadPerSlot(const Router& router, const ServerLoad& server,
@@ -108,26 +162,22 @@
 }  // namespace
 
 void RebuildShareOrder(Router& router) {
-  Indexes& order = router.share_order;
-  order.clear();
+  router.share_order.clear();
   if (router.share.instances == 0) return;
-  for (std::uint32_t it = 0; it < router.servers.size(); ++it) {
-    if (router.servers[it].own_zone) order.push_back(it);
-  }
-  // Ids are hashes. A change of one server moves each instance's first one by
-  // at most one place.
-  std::ranges::sort(order, {},
-                    [&](std::uint32_t it) { return router.servers[it].id; });
-  const std::size_t first =
-      order.size() * router.share.place / router.share.instances;
-  std::rotate(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(first),
-              order.end());
+  AppendOrdered(router, true);
+  AppendOrdered(router, false);
 }
 
 std::optional<std::uint32_t> PickFromShare(const Router& router,
                                            const RoutingRequest& request,
                                            TimePoint now, Random& random) {
   if (router.share.instances == 0) return std::nullopt;
+  if (MustReachServers(router)) {
+    const auto list = NeglectedServers(router, now);
+    if (const auto it = PickInTurn(router, request, list, now, random)) {
+      return it;
+    }
+  }
   return PickInTurn(router, request, PreferredServers(router), now, random);
 }
 
--- a/src/libs/routing/share.h
+++ b/src/libs/routing/share.h
@@ -10,7 +10,8 @@
 /// that rare requests reach all servers over few connections.
 namespace ibisladder::routing::Internal {
 
-/// Rebuilds the order in which this instance prefers the servers of its zone.
+/// Rebuilds the order in which this instance prefers the servers: those of its
+/// own zone, then the others, each from its place among the instances on.
 void RebuildShareOrder(Router& router);
 
 /// Returns the server that is due for a request of this instance: the least
--- a/tests/auto/gateway/spread_test.cc
+++ b/tests/auto/gateway/spread_test.cc
@@ -74,6 +74,7 @@
   CPPUNIT_TEST(RareRequestsInThreeZones);
   CPPUNIT_TEST(RareRequestsAndUnevenZones);
   CPPUNIT_TEST(SmallSite);
+  CPPUNIT_TEST(AllCallersInOneZoneWhileRequestsGoUnserved);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -124,6 +125,26 @@
       AssertMeetsFloor(MeasureSpread(settings, {20, 20}));
     }
   }
+
+  /// Another service of the split route serves nothing. Servers in zones
+  /// without callers must not be left without requests.
+  void AllCallersInOneZoneWhileRequestsGoUnserved() {
+    FleetSettings settings = FourZones();
+    settings.caller_zones = {"b"};
+    Section("only servers of the zone while requests are served", [&] {
+      const Spread spread = MeasureSpread(settings, {350, 84});
+      CPPUNIT_ASSERT(spread.least_used <= 26);
+    });
+    Section("servers of all zones once requests go unserved", [&] {
+      settings.unserved_percent = 20;
+      AssertMeetsFloor(MeasureSpread(settings, {437.5, 105}));
+    });
+    Section("also if the zone has few servers", [&] {
+      settings.servers = {5, 12, 20, 17};
+      settings.caller_zones = {"a"};
+      AssertMeetsFloor(MeasureSpread(settings, {250, 62.5}));
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SpreadTest);
--- a/tests/auto/routing/share_test.cc
+++ b/tests/auto/routing/share_test.cc
@@ -2,6 +2,7 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -70,6 +71,7 @@
   CPPUNIT_TEST(VeryRareRequestsUseNoShare);
   CPPUNIT_TEST(FewerServersThanInstances);
   CPPUNIT_TEST(FailedServerOfTheShareIsAvoided);
+  CPPUNIT_TEST(OtherZonesGetRequestsWhileManyGoUnserved);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -137,6 +139,43 @@
       CPPUNIT_ASSERT(Send(instance, Millis(900)) == failing);
     });
   }
+
+  /// A zone may have no callers, and its servers must not be left without
+  /// requests then.
+  void OtherZonesGetRequestsWhileManyGoUnserved() {
+    const auto servers = MakeServers(4, 8);
+    const auto count_others = [&](const std::map<BackendServerId, int>& used) {
+      return std::count_if(servers.begin(), servers.end(),
+                           [&](const Candidate& it) {
+                             return it.zone == There() && used.contains(it.id);
+                           });
+    };
+    Instance instance = MakeInstance(servers, {kInstances, 0});
+    Section("none while requests are served", [&] {
+      CPPUNIT_ASSERT(count_others(SendMany(instance, 200, Millis(50))) == 0);
+    });
+    Section("this instance's share once they go unserved", [&] {
+      SetUnservedCalls(*instance.router, 0.2);
+      const auto used = SendMany(instance, 200, Millis(50));
+      CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{3}, count_others(used));
+      Section("each about every 1.5 s", [&] {
+        for (const auto& it : servers) {
+          if (it.zone == Here() || !used.contains(it.id)) continue;
+          CPPUNIT_ASSERT(used.at(it.id) >= 6 && used.at(it.id) <= 7);
+        }
+      });
+    });
+    Section("none if other instances use them", [&] {
+      for (const auto& it : servers) {
+        ReportLoad(*instance.router, it.id, {1}, instance.now);
+      }
+      CPPUNIT_ASSERT(count_others(SendMany(instance, 200, Millis(50))) == 0);
+    });
+    Section("none if the requests suffice only for the own zone", [&] {
+      instance.now += Seconds(30);
+      CPPUNIT_ASSERT(count_others(SendMany(instance, 40, Millis(600))) == 0);
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ShareTest);
