Take the rate for shares over time, not over requests

When requests come to an idle service, each instance goes on believing for some fifty requests that they are too rare for its share: the mean gap weighs each request by a sixteenth, after an idle time of 10 s. Shares now go by a rate of first attempts whose memory decays in 2 s, whatever the rate. The mean gap stays for the choice without shares.

The test fails with the mean gap: 53 of 102 servers got requests.

--- a/src/libs/routing/router.cc
+++ b/src/libs/routing/router.cc
@@ -183,6 +183,7 @@
 }
 
 void RecordGap(Router& router, TimePoint now) {
+  router.request_rate = RequestRate(router, now) + 1 / ToSeconds(kRateMemory);
   const Duration gap = std::min(now - router.last_first_attempt, kMaxGap);
   router.last_first_attempt = now;
   ++router.first_attempts;
--- a/src/libs/routing/router_state.h
+++ b/src/libs/routing/router_state.h
@@ -16,6 +16,8 @@
 namespace Internal {
 /// Longer gaps between first attempts count as this.
 constexpr Duration kMaxGap = Seconds(10);
+/// Time in which the memory of the rate of first attempts decays to 1/e.
+constexpr Duration kRateMemory = Seconds(2);
 /// From this fraction of unserved attempts on, at-most-once requests may go to
 /// servers on trial if the floor is not met, and servers of other zones get
 /// requests. Users expect the fleet to meet the floor once a tenth is unserved,
@@ -69,6 +71,9 @@
   /// latest one.
   Duration mean_gap = Internal::kMaxGap;
   TimePoint last_first_attempt;
+  /// First attempts per second at the time of the latest one; decays with
+  /// kRateMemory.
+  double request_rate = 0;
   std::uint32_t first_attempts = 0;
   std::uint32_t in_flight = 0;
   /// Requests placed since a server on trial got one; only those whose repeat
--- a/src/libs/routing/share.cc
+++ b/src/libs/routing/share.cc
@@ -48,26 +48,27 @@
 }
 
 /// Returns the number of requests that arrive here within `time`.
-double RequestsWithin(const Router& router, Duration time) {
-  return ToSeconds(time) / ToSeconds(std::max(router.mean_gap, Micros(1)));
+double RequestsWithin(const Router& router, Duration time, TimePoint now) {
+  return ToSeconds(time) * RequestRate(router, now);
 }
 
 /// Returns how many of `servers` to use in turn: this instance's share, but as
 /// many as it reaches within kTurn, and no more than it can keep connections
 /// open to.
-std::size_t PreferredCount(const Router& router, std::size_t servers) {
+std::size_t PreferredCount(const Router& router, std::size_t servers,
+                           TimePoint now) {
   const double share = static_cast<double>(servers) /
                        static_cast<double>(router.share.instances);
   const double count =
-      std::clamp(share, RequestsWithin(router, kTurn),
-                 RequestsWithin(router, kMaxIdleConnectionAge));
+      std::clamp(share, RequestsWithin(router, kTurn, now),
+                 RequestsWithin(router, kMaxIdleConnectionAge, now));
   return static_cast<std::size_t>(std::lround(count));
 }
 
 /// Returns the healthy servers of the own zone that this instance uses in turn.
-Indexes PreferredServers(const Router& router) {
+Indexes PreferredServers(const Router& router, TimePoint now) {
   const std::size_t servers = router.own_healthy.size();
-  const std::size_t count = PreferredCount(router, servers);
+  const std::size_t count = PreferredCount(router, servers, now);
   Indexes preferred;
   if (count >= servers) return preferred;
   for (const std::uint32_t it : router.share_order) {
@@ -89,7 +90,7 @@
 /// used lately, and without requests of other instances in the last report.
 /// None if the requests suffice only for the own zone.
 Indexes NeglectedServers(const Router& router, TimePoint now) {
-  const double spare = RequestsWithin(router, kServedWithin) -
+  const double spare = RequestsWithin(router, kServedWithin, now) -
                        static_cast<double>(router.own_healthy.size());
   const std::size_t others = router.healthy.size() - router.own_healthy.size();
   const std::size_t share = others / router.share.instances + 1;
@@ -168,6 +169,12 @@
   AppendOrdered(router, false);
 }
 
+double RequestRate(const Router& router, TimePoint now) {
+  const Duration age = now - router.last_first_attempt;
+  return router.request_rate *
+         std::exp(-ToSeconds(age) / ToSeconds(kRateMemory));
+}
+
 std::optional<std::uint32_t> PickFromShare(const Router& router,
                                            const RoutingRequest& request,
                                            TimePoint now, Random& random) {
@@ -178,7 +185,8 @@
       return it;
     }
   }
-  return PickInTurn(router, request, PreferredServers(router), now, random);
+  return PickInTurn(router, request, PreferredServers(router, now), now,
+                    random);
 }
 
 }  // namespace ibisladder::routing::Internal
--- a/src/libs/routing/share.h
+++ b/src/libs/routing/share.h
@@ -14,6 +14,11 @@
 /// own zone, then the others, each from its place among the instances on.
 void RebuildShareOrder(Router& router);
 
+/// Returns the rate of first attempts per second on this instance. Follows a
+/// change within seconds at any rate, other than the mean gap, which takes some
+/// tens of requests.
+double RequestRate(const Router& router, TimePoint now);
+
 /// Returns the server that is due for a request of this instance: the least
 /// loaded of those that it uses in turn, and among equal ones the one that it
 /// used least recently. None if requests are frequent enough to reach all
--- a/tests/auto/gateway/spread_test.cc
+++ b/tests/auto/gateway/spread_test.cc
@@ -73,6 +73,7 @@
   CPPUNIT_TEST(ChangedWeightsLeaveFewRequestsForManyServers);
   CPPUNIT_TEST(RareRequestsInThreeZones);
   CPPUNIT_TEST(RareRequestsAndUnevenZones);
+  CPPUNIT_TEST(RequestsComeToAnIdleService);
   CPPUNIT_TEST(SmallSite);
   CPPUNIT_TEST(AllCallersInOneZoneWhileRequestsGoUnserved);
   CPPUNIT_TEST_SUITE_END();
@@ -116,6 +117,12 @@
     CPPUNIT_ASSERT(spread.connections_opened <= spread.servers / 2);
   }
 
+  /// Instances must not believe for long that requests are too rare to use all
+  /// servers of their share.
+  void RequestsComeToAnIdleService() {
+    AssertMeetsFloor(MeasureSpread(FourZones(), {2, 84}));
+  }
+
   /// With fewer servers than instances, shares overlap.
   void SmallSite() {
     FleetSettings settings;
