--- a/src/libs/routing/choice.cc
+++ b/src/libs/routing/choice.cc
@@ -5,6 +5,8 @@
 #include <span>
 #include <string>
 
+#include "libs/routing/share.h"
+
 namespace ibisladder::routing::Internal {
 namespace {
 
@@ -19,11 +21,6 @@
 /// Mean load per slot from which on capacity is scarce; the same as the default
 /// of ChoiceSettings::own_zone_max_load.
 constexpr double kBusyLoad = 0.75;
-/// From this fraction of unserved attempts on, at-most-once requests may go to
-/// servers on trial if the floor is not met. Users expect the fleet to meet the
-/// floor once a tenth is unserved, so the value is lower than that.
-constexpr double kHighUnservedRatio = 0.07;
-
 /// Maximum number of servers compared for one request, if one of them has
 /// capacity.
 constexpr std::size_t kMaxCompared = 32;
@@ -302,6 +299,11 @@
   }
   const bool prefer_own =
       router.choice.own_zone_max_load > 0 && OwnZoneAnswers(router);
+  if (prefer_own) {
+    if (const auto it = PickFromShare(router, request, now, random)) {
+      return Dispatch{router.servers[*it].id, "own share"};
+    }
+  }
   ChoiceContext near_context = context;
   near_context.allow_warming = false;
   const auto near = prefer_own
