Try servers on trial in random order

A trial went to the first server of the list that was due, and the list has the same order at all instances. Now the list is searched from a random place on. A server that has answered on its trial comes first, since its next answer restores it at all instances.

--- a/src/libs/routing/choice.cc
+++ b/src/libs/routing/choice.cc
@@ -226,8 +226,17 @@
          LacksServers(context.router) || MeanLoad(context) >= kBusyLoad;
 }
 
-/// Returns a server on trial that is due for a request.
-std::optional<std::uint32_t> PickTrial(const ChoiceContext& context) {
+/// Whether the server has given a good answer on its current trial.
+bool HasAnsweredOnTrial(const ServerLoad& server) {
+  return server.answered_at >= server.trial_since;
+}
+
+/// Returns a server on trial that is due for a request. One that has answered
+/// on its trial comes first, since few further answers restore it at all
+/// instances. The others are tried in random order: else the first ones, which
+/// may fail again and again, would keep the last ones waiting at all instances.
+std::optional<std::uint32_t> PickTrial(const ChoiceContext& context,
+                                       Random& random) {
   const Router& router = context.router;
   const RoutingRequest& request = context.request;
   if (router.on_trial.empty() || request.is_retry) return std::nullopt;
@@ -235,13 +244,21 @@
   if (router.since_trial < router.choice.trial_spacing) return std::nullopt;
   const Duration interval =
       kTrialInterval * static_cast<std::int64_t>(router.users_per_server);
-  for (const std::uint32_t it : router.on_trial) {
+  const std::size_t n = router.on_trial.size();
+  const std::size_t start = UniformBelow(random, n);
+  std::optional<std::uint32_t> pick;
+  for (std::size_t i = 0; i < n; ++i) {
+    const std::uint32_t it = router.on_trial[(start + i) % n];
     const ServerLoad& server = router.servers[it];
     if (server.in_flight > 0 || !MayTake(context, server)) continue;
     if (context.now - server.last_trial < interval) continue;
-    if (IsWorthTrial(context, server)) return it;
+    const bool has_answered = HasAnsweredOnTrial(server);
+    if (pick && !has_answered) continue;
+    if (!IsWorthTrial(context, server)) continue;
+    if (has_answered) return it;
+    pick = it;
   }
-  return std::nullopt;
+  return pick;
 }
 
 Dispatch MakeDispatch(const Router& router, const Pick& pick,
@@ -297,7 +314,7 @@
                                Random& random) {
   const ChoiceContext context{router, request, now, AllTried(router, request),
                               OpenConnectionBonus(router)};
-  if (const auto trial = PickTrial(context)) {
+  if (const auto trial = PickTrial(context, random)) {
     return Dispatch{router.servers[*trial].id, "trial request"};
   }
   const bool prefer_own =
--- a/tests/auto/gateway/returning_servers_test.cc
+++ b/tests/auto/gateway/returning_servers_test.cc
@@ -40,10 +40,46 @@
   return names;
 }
 
+/// Sixteen instances before ten servers, at 20 requests a second. Six of the
+/// servers lose requests, three at a time.
+class SmallService {
+ public:
+  explicit SmallService(std::uint64_t seed) {
+    FleetSettings settings;
+    settings.servers = {3, 3, 2, 2};
+    settings.instances_per_zone = kInstances / 4;
+    settings.slots = 6;
+    settings.seed = seed;
+    recorded_ = MakeRecordedFleet(settings, 20);
+    Run(recorded_, Seconds(5));
+  }
+
+  /// Runs for `time`, a multiple of three seconds.
+  void RunWithFailures(Duration time) {
+    for (Duration passed{}; passed < time; passed += Seconds(3)) {
+      const auto& names = kByTurns[turn_++ % 2];
+      for (const char* it : names) {
+        SetMode(recorded_, it, ServerMode::kLosesRequests);
+      }
+      Run(recorded_, Seconds(3));
+      for (const char* it : names) SetMode(recorded_, it, ServerMode::kHealthy);
+    }
+  }
+
+  RecordedFleet& recorded() { return recorded_; }
+
+ private:
+  static constexpr const char* kByTurns[2][3] = {{"a2", "b2", "d1"},
+                                                 {"c1", "d0", "b1"}};
+  RecordedFleet recorded_;
+  int turn_ = 0;
+};
+
 class ReturningServersTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ReturningServersTest);
   CPPUNIT_TEST(NewIncarnationsStartWithoutOldState);
   CPPUNIT_TEST(ListedAgainWithoutOldState);
+  CPPUNIT_TEST(SmallServiceWhileOthersFail);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -110,6 +146,29 @@
     });
   }
 
+  /// Servers whose links had failed stayed out of service for up to 20 s while
+  /// six others failed by turns: trials of those came first.
+  void SmallServiceWhileOthersFail() {
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+      SmallService service(seed);
+      RecordedFleet& recorded = service.recorded();
+      const std::vector<std::string> names = {"a0", "b0", "c0"};
+      for (const auto& it : names) SetMode(recorded, it, ServerMode::kRefuses);
+      service.RunWithFailures(Seconds(6));
+      for (const auto& it : names) SetMode(recorded, it, ServerMode::kHealthy);
+      service.RunWithFailures(Seconds(24));
+      Section("seed " + std::to_string(seed), [&] {
+        for (const auto& it : names) {
+          const ServerHistory& history = recorded.history.at(it);
+          CPPUNIT_ASSERT_MESSAGE(it, history.until_request);
+          CPPUNIT_ASSERT_MESSAGE(it, *history.until_request <= Seconds(8));
+          CPPUNIT_ASSERT_MESSAGE(it, history.until_healthy);
+          CPPUNIT_ASSERT_MESSAGE(it, *history.until_healthy <= Seconds(10));
+        }
+      });
+    }
+  }
+
  private:
   /// The servers are down for two seconds; a new one starts when they return.
   static void CrashAndRestart(RecordedFleet& recorded,
