Restore a server on trial with the next requests

A server that has answered on its trial now gets the next request, whatever the spacing; at-most-once requests are still risked only when they were before.

Evidence: TrialsTest::ServersThatAnswerAreTriedAgainFirst failed before.

--- a/src/libs/routing/choice.cc
+++ b/src/libs/routing/choice.cc
@@ -241,7 +241,7 @@
   const RoutingRequest& request = context.request;
   if (router.on_trial.empty() || request.is_retry) return std::nullopt;
   if (!MayGoToTrial(router, request)) return std::nullopt;
-  if (router.since_trial < router.choice.trial_spacing) return std::nullopt;
+  const bool is_spaced = router.since_trial >= router.choice.trial_spacing;
   const Duration interval =
       kTrialInterval * static_cast<std::int64_t>(router.users_per_server);
   const std::size_t n = router.on_trial.size();
@@ -253,7 +253,7 @@
     if (server.in_flight > 0 || !MayTake(context, server)) continue;
     if (context.now - server.last_trial < interval) continue;
     const bool has_answered = HasAnsweredOnTrial(server);
-    if (pick && !has_answered) continue;
+    if ((pick || !is_spaced) && !has_answered) continue;
     if (!IsWorthTrial(context, server)) continue;
     if (has_answered) return it;
     pick = it;
--- a/src/libs/routing/router.h
+++ b/src/libs/routing/router.h
@@ -114,8 +114,8 @@
   /// open.
   double open_connection_bonus = 0.2;
   /// Minimum number of requests to other servers between two trial requests,
-  /// over all servers on trial. Only requests whose repeat rule allows a trial
-  /// count.
+  /// over all servers on trial; none before one to a server that has answered on
+  /// its trial. Only requests whose repeat rule allows a trial count.
   std::uint32_t trial_spacing = 8;
   /// Whether at-most-once requests may also be sent to a server on trial.
   bool trials_allow_any_request = false;
--- a/tests/auto/routing/trials_test.cc
+++ b/tests/auto/routing/trials_test.cc
@@ -8,12 +8,14 @@
 
 #include "libs/routing/router.h"
 #include "tests/auto/routing/support.h"
+#include "tests/auto/support/story.h"
 
 namespace ibisladder::routing {
 namespace {
 
 using detection::AttemptEnd;
 using detection::ServerState;
+using testing::Section;
 
 constexpr TimePoint kStart(Seconds(100));
 constexpr Duration kDelay = Seconds(5);
@@ -21,6 +23,7 @@
 class TrialsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(TrialsTest);
   CPPUNIT_TEST(FailingServersDoNotDelayOthers);
+  CPPUNIT_TEST(ServersThatAnswerAreTriedAgainFirst);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -49,6 +52,28 @@
     for (const auto& [server, n] : trials) CPPUNIT_ASSERT(n >= 5);
   }
 
+  /// Where requests are few, the answers that restore a server took many
+  /// seconds, as each trial waited for its turn.
+  void ServersThatAnswerAreTriedAgainFirst() {
+    now_ += kDelay;
+    for (int n = 0; n < 10; ++n) {
+      const int server = TrialOf(AttemptEnd::kOk);
+      Section("the one that answered gets the next request",
+              [&] { CPPUNIT_ASSERT(NextTrial(AttemptEnd::kOk) == server); });
+      // As if it had failed and its ejection were over.
+      servers_[server].state = ServerState::kEjected;
+      SetCandidates(*router_, servers_, 1, now_);
+      now_ += Millis(1);
+      servers_[server].state = ServerState::kProbation;
+      SetCandidates(*router_, servers_, 1, now_);
+      Section("none has answered on a new trial", [&] {
+        CPPUNIT_ASSERT(!NextTrial(AttemptEnd::kOk));
+        CPPUNIT_ASSERT(!NextTrial(AttemptEnd::kOk));
+      });
+      now_ += kDelay;
+    }
+  }
+
  private:
   /// Sends an at-most-once request 100 ms after the one before. Ends it with
   /// `end` if it is a trial, and with a good answer otherwise. Returns the
