Count what goes unserved at a route's other services

Servers that answered errors are sound again 2 s after they recovered, but wait for an at-most-once trial: 1 to 3 s of ejection and 5 s on trial. The wait is cut short while much goes unserved and few servers are in service. A service judged that by its own attempts only. Where a route is split, its requests may go unserved at the other service while this one, without its ejected servers, serves all it gets. That repeats the users' report to the server: 34 of 54 sound servers got a request, 20 none, in a test of 20 servers that answered errors for 2 s while 15% of the route's requests went unserved elsewhere.

Evidence: TrialsTest::UnservedElsewhereShowsALackOfServers and ReturningServersTest::ServersNeededByARouteThatFailsElsewhere; the second one failed before with "34 of 54".

Routes with one service are not affected. The price are requests that are lost in earlier trials.

--- a/src/libs/routing/router.cc
+++ b/src/libs/routing/router.cc
@@ -187,12 +187,16 @@
   router.mean_gap += (gap - router.mean_gap) / kGapWeightDivisor;
 }
 
-void CountUnserved(Router& router, const ServerLoad& server,
-                   detection::AttemptEnd end) {
+void CountUnserved(Router& router, bool is_served) {
+  const double unserved = is_served ? 0 : 1;
+  router.unserved_ratio += kUnservedWeight * (unserved - router.unserved_ratio);
+}
+
+void CountAttempt(Router& router, const ServerLoad& server,
+                  detection::AttemptEnd end) {
   if (end == detection::AttemptEnd::kAbandoned) return;
   if (detection::IsOnTrial(server.state)) return;
-  const double unserved = end == detection::AttemptEnd::kOk ? 0 : 1;
-  router.unserved_ratio += kUnservedWeight * (unserved - router.unserved_ratio);
+  CountUnserved(router, end == detection::AttemptEnd::kOk);
 }
 
 void EndInFlight(Router& router, ServerLoad& server) {
@@ -313,11 +317,15 @@
   const auto it = router.index.find(server);
   if (it == router.index.end()) return;
   Internal::ServerLoad& load = router.servers[it->second];
-  Internal::CountUnserved(router, load, end);
+  Internal::CountAttempt(router, load, end);
   Internal::EndInFlight(router, load);
   Internal::UpdateAfterAttempt(load, end, router.mean_latency, now);
 }
 
+void RecordOutcomeElsewhere(Router& router, bool is_served) {
+  Internal::CountUnserved(router, is_served);
+}
+
 void ReportLoad(Router& router, BackendServerId server,
                 const LoadReport& report, TimePoint now) {
   const auto it = router.index.find(server);
--- a/src/libs/routing/router.h
+++ b/src/libs/routing/router.h
@@ -114,8 +114,8 @@
   /// open.
   double open_connection_bonus = 0.2;
   /// Minimum number of requests to other servers between two trial requests,
-  /// over all servers on trial; none before one to a server that has answered on
-  /// its trial. Only requests whose repeat rule allows a trial count.
+  /// over all servers on trial; none before one to a server that has answered
+  /// on its trial. Only requests whose repeat rule allows a trial count.
   std::uint32_t trial_spacing = 8;
   /// Whether at-most-once requests may also be sent to a server on trial.
   bool trials_allow_any_request = false;
@@ -165,6 +165,10 @@
 /// limit.
 void AttemptEnded(Router& router, BackendServerId server,
                   detection::AttemptEnd end, Duration latency, TimePoint now);
+/// Records how a request ended that a route of this service sent to another
+/// service. It counts like an attempt for whether many requests go unserved;
+/// see ChoiceSettings::at_most_once_trial_delay.
+void RecordOutcomeElsewhere(Router& router, bool is_served);
 /// Unknown servers are ignored.
 void ReportLoad(Router& router, BackendServerId server,
                 const LoadReport& report, TimePoint now);
--- a/src/libs/routing/router_state.h
+++ b/src/libs/routing/router_state.h
@@ -48,8 +48,8 @@
   /// Percentage of servers that the operator wants in service. The detector
   /// applies the same setting to slots.
   std::uint8_t floor_percent = 0;
-  /// Moving average: fraction of the attempts at servers not on trial that were
-  /// not served.
+  /// Moving average: fraction of the attempts at servers not on trial, and of
+  /// the requests that the routes sent to other services, that were not served.
   double unserved_ratio = 0;
   /// Mean number of other instances' requests per server, from load reports.
   double mean_other_load = 0;
--- a/tests/auto/gateway/returning_servers_test.cc
+++ b/tests/auto/gateway/returning_servers_test.cc
@@ -20,8 +20,8 @@
 constexpr Duration kStep = Millis(10);
 
 /// 54 servers in four zones before 16 instances.
-RecordedFleet MakeLargeFleet(double requests_per_second) {
-  FleetSettings settings;
+RecordedFleet MakeLargeFleet(double requests_per_second,
+                             FleetSettings settings = {}) {
   settings.servers = {14, 14, 13, 13};
   settings.instances_per_zone = kInstances / 4;
   return MakeRecordedFleet(settings, requests_per_second);
@@ -80,6 +80,7 @@
   CPPUNIT_TEST(NewIncarnationsStartWithoutOldState);
   CPPUNIT_TEST(ListedAgainWithoutOldState);
   CPPUNIT_TEST(SmallServiceWhileOthersFail);
+  CPPUNIT_TEST(ServersNeededByARouteThatFailsElsewhere);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -169,6 +170,34 @@
     }
   }
 
+  /// Sound servers that had answered errors got no requests for seconds while
+  /// the route failed at its other service: instances saw nothing of that here,
+  /// and waited with at-most-once trials.
+  void ServersNeededByARouteThatFailsElsewhere() {
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+      FleetSettings settings;
+      settings.unserved_percent = 15;
+      settings.seed = seed;
+      RecordedFleet recorded = MakeLargeFleet(280, settings);
+      const auto names = FirstServers(recorded, 20);
+      Run(recorded, Seconds(5));
+      for (const auto& it : names) {
+        SetMode(recorded, it, ServerMode::kAnswersErrors);
+      }
+      Run(recorded, Seconds(2));
+      for (const auto& it : names) SetMode(recorded, it, ServerMode::kHealthy);
+      Run(recorded, Seconds(10));
+      Section("seed " + std::to_string(seed), [&] {
+        for (const Window& it : WindowsFrom(recorded, 5)) {
+          CPPUNIT_ASSERT_MESSAGE("second " + std::to_string(it.first_second) +
+                                     ": " + std::to_string(it.used) + " of " +
+                                     std::to_string(it.sound),
+                                 !HasManyUnserved(it) || !IsBelowFloor(it));
+        }
+      });
+    }
+  }
+
  private:
   /// The servers are down for two seconds; a new one starts when they return.
   static void CrashAndRestart(RecordedFleet& recorded,
--- a/tests/auto/routing/trials_test.cc
+++ b/tests/auto/routing/trials_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST_SUITE(TrialsTest);
   CPPUNIT_TEST(FailingServersDoNotDelayOthers);
   CPPUNIT_TEST(ServersThatAnswerAreTriedAgainFirst);
+  CPPUNIT_TEST(UnservedElsewhereShowsALackOfServers);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -74,6 +75,20 @@
     }
   }
 
+  /// Servers waited out the delay for at-most-once trials while the requests of
+  /// their route went unserved at another service.
+  void UnservedElsewhereShowsALackOfServers() {
+    now_ += Seconds(1);
+    Section("served elsewhere", [&] {
+      for (int n = 0; n < 20; ++n) RecordOutcomeElsewhere(*router_, true);
+      for (int n = 0; n < 10; ++n) CPPUNIT_ASSERT(!NextTrial(AttemptEnd::kOk));
+    });
+    Section("unserved elsewhere", [&] {
+      for (int n = 0; n < 8; ++n) RecordOutcomeElsewhere(*router_, false);
+      CPPUNIT_ASSERT(NextTrial(AttemptEnd::kOk));
+    });
+  }
+
  private:
   /// Sends an at-most-once request 100 ms after the one before. Ends it with
   /// `end` if it is a trial, and with a good answer otherwise. Returns the
