--- a/src/libs/routing/share.cc
+++ b/src/libs/routing/share.cc
@@ -79,11 +79,10 @@
   return preferred;
 }
 
-/// Whether so many attempts, or calls of the service's routes, go unserved that
-/// users expect requests at most of the servers.
+/// Whether so many requests go unserved that users expect requests at most of
+/// the servers.
 bool MustReachServers(const Router& router) {
-  return std::max(router.unserved_ratio, router.unserved_calls) >=
-         kHighUnservedRatio;
+  return router.unserved_ratio >= kHighUnservedRatio;
 }
 
 /// Returns the healthy servers of other zones that should get a request: not
--- a/tests/auto/routing/share_test.cc
+++ b/tests/auto/routing/share_test.cc
@@ -54,13 +54,19 @@
 }
 
 /// Returns the number of requests by server, after enough of them to measure
-/// the gap.
+/// the gap. `unserved_each`: after as many of them, one of the same route goes
+/// unserved at another service; 0: none does.
 std::map<BackendServerId, int> SendMany(Instance& instance, int requests,
-                                        Duration gap) {
+                                        Duration gap, int unserved_each = 0) {
   constexpr int kFirst = 100;
-  for (int n = 0; n < kFirst; ++n) Send(instance, gap);
   std::map<BackendServerId, int> counts;
-  for (int n = 0; n < requests; ++n) ++counts[Send(instance, gap)];
+  for (int n = 1; n <= kFirst + requests; ++n) {
+    const BackendServerId it = Send(instance, gap);
+    if (n > kFirst) ++counts[it];
+    if (unserved_each > 0 && n % unserved_each == 0) {
+      RecordOutcomeElsewhere(*instance.router, false);
+    }
+  }
   return counts;
 }
 
@@ -155,8 +161,7 @@
       CPPUNIT_ASSERT(count_others(SendMany(instance, 200, Millis(50))) == 0);
     });
     Section("this instance's share once they go unserved", [&] {
-      SetUnservedCalls(*instance.router, 0.2);
-      const auto used = SendMany(instance, 200, Millis(50));
+      const auto used = SendMany(instance, 200, Millis(50), 4);
       CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{3}, count_others(used));
       Section("each about every 1.5 s", [&] {
         for (const auto& it : servers) {
@@ -169,11 +174,11 @@
       for (const auto& it : servers) {
         ReportLoad(*instance.router, it.id, {1}, instance.now);
       }
-      CPPUNIT_ASSERT(count_others(SendMany(instance, 200, Millis(50))) == 0);
+      CPPUNIT_ASSERT(count_others(SendMany(instance, 200, Millis(50), 4)) == 0);
     });
     Section("none if the requests suffice only for the own zone", [&] {
       instance.now += Seconds(30);
-      CPPUNIT_ASSERT(count_others(SendMany(instance, 40, Millis(600))) == 0);
+      CPPUNIT_ASSERT(count_others(SendMany(instance, 40, Millis(600), 4)) == 0);
     });
   }
 };
