Ask the kernel whether a connect to a server is late

Cause: the connect timeout was judged by the callback that reports the connect, and then by the bytes sent. After a stall, a connection that the kernel had opened but on which no turn had written yet counted as a failed connect. No byte had left, so that the second attempt was safe, but the claim was untrue: it spent second attempts and was evidence against a server that had accepted at once.

The timeout now ends only connections that the kernel is still opening, or that have no socket. For all others a callback reports the connect or its failure.

--- a/src/plugins/gateway/server_connections.cc
+++ b/src/plugins/gateway/server_connections.cc
@@ -91,6 +91,13 @@
   return UnsentBytes(connection) < connection.request_bytes;
 }
 
+/// Whether the kernel has opened the connection or has failed to; a callback
+/// reports either.
+bool IsOpened(const ServerConnection& connection) {
+  const int fd = bufferevent_getfd(connection.bev);
+  return fd >= 0 && !net::IsConnecting(fd);
+}
+
 /// Whether an idle connection has received bytes, which belong to no further
 /// request, or has ended. After a stall, the next request comes before the
 /// callback that reports either.
@@ -287,8 +294,9 @@
   std::vector<std::uint64_t> unconnected;
   std::vector<std::uint64_t> expired;
   for (const auto& [id, it] : connections_) {
-    const bool is_connecting = !it->is_connected && !HasSentBytes(*it);
-    if (is_connecting && now - it->opened_at > kConnectTimeout) {
+    const bool is_due =
+        !it->is_connected && now - it->opened_at > kConnectTimeout;
+    if (is_due && !IsOpened(*it)) {
       unconnected.push_back(id);
     } else if (!it->attempt && now - it->idle_since > it->idle_timeout) {
       expired.push_back(id);
