List the unread answer in HttpClient as known red

The audit found that HttpClient takes an answer that waits unread on an idle connection for that of the next call.

--- a/tests/auto/net/http_delivery_test.cc
+++ b/tests/auto/net/http_delivery_test.cc
@@ -49,6 +49,12 @@
   CountingServer& operator=(const CountingServer&) = delete;
 
   int requests() const { return requests_; }
+  /// Sends bytes on the last connection at once, as during a stall of the peer.
+  void SendUnasked(const std::string& bytes) const {
+    const int fd = bufferevent_getfd(connections_.back());
+    const ssize_t n = send(fd, bytes.data(), bytes.size(), 0);
+    CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(bytes.size()), n);
+  }
 
  private:
   static void OnAccept(evconnlistener* listener, evutil_socket_t fd,
@@ -87,6 +93,7 @@
   CPPUNIT_TEST_SUITE(HttpDeliveryTest);
   CPPUNIT_TEST(RequestSentInALateTurnIsNotReportedAsUnsent);
   CPPUNIT_TEST(RequestThatAServerReadIsNotReportedAsUnsent);
+  CPPUNIT_TEST(AnswerThatArrivedBeforeTheRequestIsNotItsAnswer);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -168,6 +175,22 @@
               }
             });
   }
+
+  /// Guards against outcomes that belong to another request: a second answer
+  /// waits unread on an idle connection during a stall, and would be taken for
+  /// the answer to the next request on it.
+  void AnswerThatArrivedBeforeTheRequestIsNotItsAnswer() {
+    Session session;
+    const CountingServer server(*session.loop, 2);
+    session.Send(CallTo(kRaw));
+    server.SendUnasked("HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n");
+    session.Send(CallTo(kRaw));
+    CPPUNIT_ASSERT(session.answer);
+    CPPUNIT_ASSERT_EQUAL(200, session.answer->status);
+    Section("the other connection is closed", [&] {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, session.client.open_connections());
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpDeliveryTest);
