--- a/src/libs/gateway/requests.cc
+++ b/src/libs/gateway/requests.cc
@@ -105,20 +105,18 @@
   return it == context.forwarder.services.end() ? "" : it->second.settings.name;
 }
 
-/// Tells the other services of the call's route how it ended. Callers see the
-/// route as a whole: while many of its requests go unserved at one service, the
+/// Tells all services of the call's route how it ended. Callers see the route
+/// as a whole: while many of its requests go unserved at one service, the
 /// others need all their servers.
-void RecordOutcomeElsewhere(Context& context, const Call& call,
-                            const CallerAnswer& answer) {
+void RecordOutcome(Context& context, const Call& call,
+                   const CallerAnswer& answer) {
   const bool is_served =
       answer.code == ResultCode::kDone && answer.status < kFirstServerError;
   for (const auto& it : call.route.services) {
-    const ServiceId id = MakeServiceId(it.service);
-    const auto service = context.forwarder.services.find(id);
-    if (id == call.service || service == context.forwarder.services.end()) {
-      continue;
-    }
-    routing::RecordOutcomeElsewhere(*service->second.router, is_served);
+    const auto service =
+        context.forwarder.services.find(MakeServiceId(it.service));
+    if (service == context.forwarder.services.end()) continue;
+    routing::RecordCallOutcome(*service->second.router, is_served);
   }
 }
 
@@ -340,7 +338,7 @@
   Call& call = it->second;
   const bool is_refused = IsRefusal(answer);
   CountAnswer(context, call, answer);
-  RecordOutcomeElsewhere(context, call, answer);
+  RecordOutcome(context, call, answer);
   Log(context, is_refused ? LogEvent::kCallRefused : LogEvent::kCallAnswered,
       {{"request", call.request->request_id},
        {"route", call.route.name},
--- a/src/libs/routing/choice.cc
+++ b/src/libs/routing/choice.cc
@@ -202,13 +202,13 @@
 /// Whether the service needs every server that may have recovered: many
 /// requests go unserved, and fewer servers are healthy than the floor demands.
 bool LacksServers(const Router& router) {
+  if (!ManyGoUnserved(router)) return false;
   const auto open = std::ranges::count_if(router.servers, [](const auto& it) {
     return !it.closed && !it.draining;
   });
   const std::size_t wanted =
       static_cast<std::size_t>(open) * router.floor_percent;
-  return router.unserved_ratio >= kHighUnservedRatio &&
-         router.healthy.size() * 100 < wanted;
+  return router.healthy.size() * 100 < wanted;
 }
 
 /// Whether to risk the request on a server on trial. If it cannot be repeated,
--- a/src/libs/routing/router.cc
+++ b/src/libs/routing/router.cc
@@ -190,16 +190,17 @@
   router.mean_gap += (gap - router.mean_gap) / kGapWeightDivisor;
 }
 
-void CountUnserved(Router& router, bool is_served) {
+/// Adds an outcome to a moving average of what was not served.
+void CountOutcome(double& ratio, bool is_served) {
   const double unserved = is_served ? 0 : 1;
-  router.unserved_ratio += kUnservedWeight * (unserved - router.unserved_ratio);
+  ratio += kUnservedWeight * (unserved - ratio);
 }
 
 void CountAttempt(Router& router, const ServerLoad& server,
                   detection::AttemptEnd end) {
   if (end == detection::AttemptEnd::kAbandoned) return;
   if (detection::IsOnTrial(server.state)) return;
-  CountUnserved(router, end == detection::AttemptEnd::kOk);
+  CountOutcome(router.unserved_ratio, end == detection::AttemptEnd::kOk);
 }
 
 void EndInFlight(Router& router, ServerLoad& server) {
@@ -332,8 +333,8 @@
   Internal::UpdateAfterAttempt(load, end, router.mean_latency, now);
 }
 
-void RecordOutcomeElsewhere(Router& router, bool is_served) {
-  Internal::CountUnserved(router, is_served);
+void RecordCallOutcome(Router& router, bool is_served) {
+  Internal::CountOutcome(router.unserved_calls, is_served);
 }
 
 void ReportLoad(Router& router, BackendServerId server,
--- a/src/libs/routing/router.h
+++ b/src/libs/routing/router.h
@@ -178,10 +178,10 @@
 /// limit.
 void AttemptEnded(Router& router, BackendServerId server,
                   detection::AttemptEnd end, Duration latency, TimePoint now);
-/// Records how a request ended that a route of this service sent to another
-/// service. It counts like an attempt for whether many requests go unserved;
+/// Records how a call ended whose route uses this service, also if it was sent
+/// to another service. Many unserved calls count like many unserved attempts;
 /// see ChoiceSettings::at_most_once_trial_delay.
-void RecordOutcomeElsewhere(Router& router, bool is_served);
+void RecordCallOutcome(Router& router, bool is_served);
 /// Unknown servers are ignored.
 void ReportLoad(Router& router, BackendServerId server,
                 const LoadReport& report, TimePoint now);
--- a/src/libs/routing/router_state.h
+++ b/src/libs/routing/router_state.h
@@ -59,9 +59,12 @@
   /// Percentage of servers that the operator wants in service. The detector
   /// applies the same setting to slots.
   std::uint8_t floor_percent = 0;
-  /// Moving average: fraction of the attempts at servers not on trial, and of
-  /// the requests that the routes sent to other services, that were not served.
+  /// Moving average: fraction of the attempts at servers not on trial that were
+  /// not served.
   double unserved_ratio = 0;
+  /// Moving average: fraction of the calls of all routes that use the service
+  /// that were not served.
+  double unserved_calls = 0;
   /// Mean number of other instances' requests per server, from load reports.
   double mean_other_load = 0;
   /// Mean time between first attempts on this instance, and the time of the
--- a/src/libs/routing/share.cc
+++ b/src/libs/routing/share.cc
@@ -53,8 +53,8 @@
 }
 
 /// Returns how many of `servers` to use in turn: this instance's share, but as
-/// many as it reaches within kTurn, and no more than it can keep connections
-/// open to.
+/// many as it reaches within kTurn, and no more than it can keep
+/// connections open to.
 std::size_t PreferredCount(const Router& router, std::size_t servers,
                            TimePoint now) {
   const double share = static_cast<double>(servers) /
@@ -79,12 +79,6 @@
   return preferred;
 }
 
-/// Whether so many requests go unserved that users expect requests at most of
-/// the servers.
-bool MustReachServers(const Router& router) {
-  return router.unserved_ratio >= kHighUnservedRatio;
-}
-
 /// Returns the healthy servers of other zones that should get a request: not
 /// used lately, and without requests of other instances in the last report.
 /// None if the requests suffice only for the own zone.
@@ -168,6 +162,11 @@
   AppendOrdered(router, false);
 }
 
+bool ManyGoUnserved(const Router& router) {
+  return std::max(router.unserved_ratio, router.unserved_calls) >=
+         kHighUnservedRatio;
+}
+
 double RequestRate(const Router& router, TimePoint now) {
   const Duration age = now - router.last_first_attempt;
   return router.request_rate *
@@ -178,7 +177,7 @@
                                            const RoutingRequest& request,
                                            TimePoint now, Random& random) {
   if (router.share.instances == 0) return std::nullopt;
-  if (MustReachServers(router)) {
+  if (ManyGoUnserved(router)) {
     const auto list = NeglectedServers(router, now);
     if (const auto it = PickInTurn(router, request, list, now, random)) {
       return it;
--- a/src/libs/routing/share.h
+++ b/src/libs/routing/share.h
@@ -14,6 +14,10 @@
 /// own zone, then the others, each from its place among the instances on.
 void RebuildShareOrder(Router& router);
 
+/// Whether so many attempts, or calls of the service's routes, go unserved that
+/// users expect requests at most of the servers.
+bool ManyGoUnserved(const Router& router);
+
 /// Returns the rate of first attempts per second on this instance. Follows a
 /// change within seconds at any rate, other than the mean gap, which takes some
 /// tens of requests.
--- a/tests/auto/routing/share_test.cc
+++ b/tests/auto/routing/share_test.cc
@@ -64,7 +64,7 @@
     const BackendServerId it = Send(instance, gap);
     if (n > kFirst) ++counts[it];
     if (unserved_each > 0 && n % unserved_each == 0) {
-      RecordOutcomeElsewhere(*instance.router, false);
+      RecordCallOutcome(*instance.router, false);
     }
   }
   return counts;
--- a/tests/auto/routing/trials_test.cc
+++ b/tests/auto/routing/trials_test.cc
@@ -80,11 +80,11 @@
   void UnservedElsewhereShowsALackOfServers() {
     now_ += Seconds(1);
     Section("served elsewhere", [&] {
-      for (int n = 0; n < 20; ++n) RecordOutcomeElsewhere(*router_, true);
+      for (int n = 0; n < 20; ++n) RecordCallOutcome(*router_, true);
       for (int n = 0; n < 10; ++n) CPPUNIT_ASSERT(!NextTrial(AttemptEnd::kOk));
     });
     Section("unserved elsewhere", [&] {
-      for (int n = 0; n < 8; ++n) RecordOutcomeElsewhere(*router_, false);
+      for (int n = 0; n < 8; ++n) RecordCallOutcome(*router_, false);
       CPPUNIT_ASSERT(NextTrial(AttemptEnd::kOk));
     });
   }
