--- /dev/null
+++ b/tests/auto/gateway/fleet_simulation.cc
@@ -0,0 +1,358 @@
+#include "tests/auto/gateway/fleet_simulation.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace ibisladder::gateway {
+namespace {
+
+constexpr Duration kStep = Millis(10);
+/// Requests that a server holds beyond its slots before it declines.
+constexpr std::size_t kMaxWaiting = 4;
+constexpr Duration kIdleTimeout = Seconds(6);
+constexpr std::size_t kMaxIdleConnections = 4;
+constexpr Duration kServerWarmUp = Seconds(3);
+constexpr int kWarmingSlowdown = 2;
+constexpr char kService[] = "s";
+
+bool IsWarming(const FleetSimulation& fleet, const SimulatedServer& server) {
+  return fleet.now < server.warm_at;
+}
+
+routing::LoadReport ReportOf(const FleetSimulation& fleet,
+                             const SimulatedServer& server) {
+  routing::LoadReport report;
+  report.in_flight =
+      static_cast<std::uint16_t>(server.running.size() + server.waiting.size());
+  report.slots = server.entry.slots;
+  report.warming = IsWarming(fleet, server);
+  report.draining = server.entry.draining;
+  return report;
+}
+
+void AnswerFrom(FleetSimulation& fleet, const SimulatedServer& server,
+                const ServerRequest& request, int status, bool not_run) {
+  ServerAnswer answer;
+  answer.status = status;
+  answer.not_run = not_run;
+  answer.is_signed = !not_run;
+  answer.request_id = request.attempt.request->request_id;
+  answer.load = ReportOf(fleet, server);
+  auto& idle = fleet.idle[{request.instance, server.entry.name}];
+  if (idle.size() < kMaxIdleConnections) idle.push_back(fleet.now);
+  ForwarderFixture& instance = fleet.instances[request.instance];
+  AttemptAnswered(*instance.forwarder, request.attempt.attempt, answer,
+                  fleet.now);
+  CollectActions(instance);
+}
+
+Duration DrawServiceTime(FleetSimulation& fleet,
+                         const SimulatedServer& server) {
+  const double factor = 0.5 + UniformUnit(fleet.random);
+  const auto mean = static_cast<double>(fleet.settings.service_time.count());
+  const Duration time = Micros(static_cast<std::int64_t>(mean * factor));
+  return IsWarming(fleet, server) ? time * kWarmingSlowdown : time;
+}
+
+void StartWaiting(FleetSimulation& fleet, SimulatedServer& server) {
+  while (!server.waiting.empty() &&
+         server.running.size() < server.entry.slots) {
+    ServerRequest request = std::move(server.waiting.front());
+    server.waiting.pop_front();
+    // Until now, `ends_at` was the time of the dispatch.
+    fleet.waited += fleet.now - request.ends_at;
+    ++fleet.started;
+    request.ends_at = fleet.now + DrawServiceTime(fleet, server);
+    server.running.push_back(std::move(request));
+  }
+}
+
+/// Uses an idle connection, or opens one.
+void Connect(FleetSimulation& fleet, std::size_t instance,
+             const std::string& server) {
+  auto& idle = fleet.idle[{instance, server}];
+  std::erase_if(idle,
+                [&](TimePoint it) { return fleet.now - it > kIdleTimeout; });
+  if (idle.empty()) {
+    ++fleet.connections_opened;
+  } else {
+    idle.pop_back();
+  }
+}
+
+void FailFrom(FleetSimulation& fleet, std::size_t instance,
+              const SendAttempt& attempt, AttemptFailure failure) {
+  Fail(fleet.instances[instance], attempt, failure);
+}
+
+void Deliver(FleetSimulation& fleet, std::size_t instance,
+             const SendAttempt& attempt) {
+  SimulatedServer& server = fleet.servers.at(attempt.server_name);
+  fleet.sent.push_back({fleet.now, attempt.server_name, instance});
+  if (server.mode == ServerMode::kRefuses) {
+    FailFrom(fleet, instance, attempt, AttemptFailure::kConnectFailed);
+    return;
+  }
+  Connect(fleet, instance, attempt.server_name);
+  const ServerRequest request{instance, attempt, fleet.now};
+  switch (server.mode) {
+    case ServerMode::kAnswersErrors:
+      AnswerFrom(fleet, server, request, 500, false);
+      break;
+    case ServerMode::kLosesRequests:
+      FailFrom(fleet, instance, attempt, AttemptFailure::kConnectionLost);
+      break;
+    case ServerMode::kAnswersNothing:
+    case ServerMode::kRefuses:
+      break;
+    case ServerMode::kHealthy:
+      if (server.waiting.size() >= kMaxWaiting) {
+        ++fleet.declined;
+        AnswerFrom(fleet, server, request, 503, true);
+        break;
+      }
+      server.waiting.push_back(request);
+      StartWaiting(fleet, server);
+      break;
+  }
+}
+
+/// Delivers attempts until none is left, as failed ones may be followed by
+/// others.
+void DeliverAll(FleetSimulation& fleet) {
+  bool delivered = true;
+  while (delivered) {
+    delivered = false;
+    for (std::size_t i = 0; i < fleet.instances.size(); ++i) {
+      for (const auto& it : std::exchange(fleet.instances[i].sent, {})) {
+        Deliver(fleet, i, it);
+        delivered = true;
+      }
+    }
+  }
+}
+
+void DropCancelled(FleetSimulation& fleet) {
+  for (std::size_t i = 0; i < fleet.instances.size(); ++i) {
+    const auto cancelled = std::exchange(fleet.instances[i].cancelled, {});
+    if (cancelled.empty()) continue;
+    const auto is_cancelled = [&](const ServerRequest& it) {
+      return it.instance == i &&
+             std::ranges::find(cancelled, it.attempt.attempt) !=
+                 cancelled.end();
+    };
+    for (auto& [name, server] : fleet.servers) {
+      std::erase_if(server.running, is_cancelled);
+      std::erase_if(server.waiting, is_cancelled);
+    }
+  }
+}
+
+void FinishDue(FleetSimulation& fleet) {
+  for (auto& [name, server] : fleet.servers) {
+    std::vector<ServerRequest> due;
+    std::erase_if(server.running, [&](const ServerRequest& it) {
+      if (it.ends_at > fleet.now) return false;
+      due.push_back(it);
+      return true;
+    });
+    StartWaiting(fleet, server);
+    for (const auto& it : due) AnswerFrom(fleet, server, it, 200, false);
+  }
+}
+
+void ExchangeEvidence(FleetSimulation& fleet) {
+  for (std::size_t from = 0; from < fleet.instances.size(); ++from) {
+    const auto digests = std::exchange(fleet.instances[from].evidence, {});
+    if (digests.empty()) continue;
+    for (std::size_t to = 0; to < fleet.instances.size(); ++to) {
+      if (to == from) continue;
+      MergeEvidence(*fleet.instances[to].forwarder,
+                    InstanceId(static_cast<std::uint32_t>(from)), digests,
+                    fleet.now);
+      CollectActions(fleet.instances[to]);
+    }
+  }
+}
+
+/// Returns a random instance that gets requests.
+std::size_t DrawInstance(FleetSimulation& fleet) {
+  std::vector<std::size_t> choices;
+  const auto& zones = fleet.settings.caller_zones;
+  for (std::size_t i = 0; i < fleet.instances.size(); ++i) {
+    const bool has_callers =
+        zones.empty() ||
+        std::ranges::find(zones, fleet.instance_zones[i]) != zones.end();
+    if (has_callers) choices.push_back(i);
+  }
+  return choices[UniformBelow(fleet.random, choices.size())];
+}
+
+void ArriveDue(FleetSimulation& fleet, double requests_per_second) {
+  while (requests_per_second > 0 && fleet.next_arrival <= fleet.now) {
+    Arrive(fleet.instances[DrawInstance(fleet)], "/work/1");
+    const double gap =
+        -std::log(1 - UniformUnit(fleet.random)) / requests_per_second;
+    fleet.next_arrival += Micros(static_cast<std::int64_t>(gap * 1e6));
+  }
+}
+
+void Step(FleetSimulation& fleet, double requests_per_second) {
+  fleet.now += kStep;
+  for (ForwarderFixture& it : fleet.instances) {
+    it.now = fleet.now;
+    Tick(*it.forwarder, it.now);
+    CollectActions(it);
+  }
+  DropCancelled(fleet);
+  FinishDue(fleet);
+  ArriveDue(fleet, requests_per_second);
+  DeliverAll(fleet);
+  ExchangeEvidence(fleet);
+}
+
+ConfigurationPtr MakeConfiguration(bool is_at_most_once_only) {
+  auto configuration = std::make_shared<Configuration>();
+  // MakeFixture installs version 1.
+  configuration->version = ConfigVersion(2);
+  configuration->routes = {
+      MakeRoute("/work/", kService, RepeatRule::kAtMostOnce)};
+  if (!is_at_most_once_only) {
+    configuration->routes.push_back(
+        MakeRoute("/read/", kService, RepeatRule::kIdempotent));
+  }
+  configuration->services = {{kService, "/healthz", 300}};
+  return configuration;
+}
+
+std::string ZoneNameOf(std::size_t zone) {
+  return {static_cast<char>('a' + zone)};
+}
+
+void MakeInstances(FleetSimulation& fleet) {
+  std::vector<Member> members;
+  for (std::size_t zone = 0; zone < fleet.settings.servers.size(); ++zone) {
+    for (int i = 0; i < fleet.settings.instances_per_zone; ++i) {
+      Member member;
+      member.zone = ZoneName(ZoneNameOf(zone));
+      member.name = ZoneNameOf(zone) + "-instance" + std::to_string(i);
+      members.push_back(member);
+    }
+  }
+  const auto configuration =
+      MakeConfiguration(fleet.settings.is_at_most_once_only);
+  for (const Member& it : members) {
+    ForwarderSettings settings;
+    settings.zone = it.zone;
+    settings.seed =
+        fleet.settings.seed * members.size() + fleet.instances.size();
+    ForwarderFixture fixture = MakeFixture(0, settings);
+    InstallConfiguration(*fixture.forwarder, configuration, fixture.now);
+    DirectorySettings directory;
+    directory.instances_per_zone = fleet.settings.instances_per_zone;
+    SetDirectoryState(*fixture.forwarder,
+                      DirectoryStateOf(members, it.name, directory),
+                      fixture.now);
+    fleet.now = fixture.now;
+    fleet.instances.push_back(std::move(fixture));
+    fleet.instance_zones.push_back(it.zone.value());
+  }
+}
+
+SimulatedServer MakeSimulatedServer(const FleetSimulation& fleet,
+                                    const std::string& name,
+                                    const std::string& zone) {
+  SimulatedServer server;
+  server.entry = MakeServer(name, kService);
+  server.entry.zone = ZoneName(zone);
+  server.entry.slots = fleet.settings.slots;
+  server.warm_at = fleet.now;
+  return server;
+}
+
+}  // namespace
+
+FleetSimulation MakeFleet(const FleetSettings& settings) {
+  FleetSimulation fleet;
+  fleet.settings = settings;
+  fleet.random.seed(settings.seed);
+  MakeInstances(fleet);
+  fleet.next_arrival = fleet.now;
+  for (std::size_t zone = 0; zone < settings.servers.size(); ++zone) {
+    for (int i = 0; i < settings.servers[zone]; ++i) {
+      const std::string name = ZoneNameOf(zone) + std::to_string(i);
+      fleet.servers[name] = MakeSimulatedServer(fleet, name, ZoneNameOf(zone));
+    }
+  }
+  PublishServers(fleet);
+  return fleet;
+}
+
+void Run(FleetSimulation& fleet, Duration time, double requests_per_second) {
+  fleet.next_arrival = std::max(fleet.next_arrival, fleet.now);
+  for (Duration passed{}; passed < time; passed += kStep) {
+    Step(fleet, requests_per_second);
+  }
+}
+
+void PublishServers(FleetSimulation& fleet) {
+  std::vector<ServerEntry> entries;
+  for (auto& [name, server] : fleet.servers) {
+    if (!server.is_listed) continue;
+    server.entry.warm_up_left =
+        std::max(server.warm_at - fleet.now, Duration::zero());
+    entries.push_back(server.entry);
+  }
+  for (ForwarderFixture& it : fleet.instances) {
+    SetServers(*it.forwarder, entries, fleet.now);
+    CollectActions(it);
+  }
+}
+
+void StartServer(FleetSimulation& fleet, const std::string& name,
+                 const std::string& zone) {
+  SimulatedServer server = MakeSimulatedServer(fleet, name, zone);
+  server.entry.started_ms = ToMillis(fleet.now.time_since_epoch());
+  server.warm_at = fleet.now + kServerWarmUp;
+  fleet.servers[name] = std::move(server);
+  PublishServers(fleet);
+}
+
+void RestartServer(FleetSimulation& fleet, const std::string& name) {
+  SimulatedServer& server = fleet.servers.at(name);
+  const std::string zone = server.entry.zone.value();
+  const auto running = std::exchange(server.running, {});
+  const auto waiting = std::exchange(server.waiting, {});
+  for (auto& [key, idle] : fleet.idle) {
+    if (key.second == name) idle.clear();
+  }
+  for (const auto& it : running) {
+    FailFrom(fleet, it.instance, it.attempt, AttemptFailure::kConnectionLost);
+  }
+  for (const auto& it : waiting) {
+    FailFrom(fleet, it.instance, it.attempt, AttemptFailure::kConnectionLost);
+  }
+  StartServer(fleet, name, zone);
+}
+
+std::set<std::string> ServersUsed(const FleetSimulation& fleet, TimePoint from,
+                                  TimePoint to) {
+  std::set<std::string> names;
+  for (const SentRequest& it : fleet.sent) {
+    if (it.at >= from && it.at < to) names.insert(it.server);
+  }
+  return names;
+}
+
+std::size_t CountAnswers(const FleetSimulation& fleet, int status) {
+  std::size_t n = 0;
+  for (const ForwarderFixture& instance : fleet.instances) {
+    for (const auto& [call, answer] : instance.answers) {
+      if (answer.status == status) ++n;
+    }
+  }
+  return n;
+}
+
+}  // namespace ibisladder::gateway
--- /dev/null
+++ b/tests/auto/gateway/fleet_simulation.h
@@ -0,0 +1,103 @@
+#ifndef TESTS_AUTO_GATEWAY_FLEET_SIMULATION_H_
+#define TESTS_AUTO_GATEWAY_FLEET_SIMULATION_H_
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "libs/base/random.h"
+#include "tests/auto/gateway/forwarder_fixture.h"
+
+/// Advertised instances before the servers of one service, in virtual time.
+/// They exchange evidence, and servers report their load over all instances.
+namespace ibisladder::gateway {
+
+enum class ServerMode : std::uint8_t {
+  kHealthy,
+  kAnswersErrors,   ///< Answers 500 at once.
+  kRefuses,         ///< Connections are refused.
+  kLosesRequests,   ///< The connection is lost once a request was sent.
+  kAnswersNothing,  ///< Requests end at their deadline.
+};
+
+/// A request at a server.
+struct ServerRequest {
+  std::size_t instance = 0;
+  SendAttempt attempt;
+  TimePoint ends_at;
+};
+
+struct SimulatedServer {
+  ServerEntry entry;
+  ServerMode mode = ServerMode::kHealthy;
+  bool is_listed = true;
+  /// Until then it is slower and reports that it warms up.
+  TimePoint warm_at;
+  std::vector<ServerRequest> running;
+  std::deque<ServerRequest> waiting;
+};
+
+struct SentRequest {
+  TimePoint at;
+  std::string server;
+  std::size_t instance = 0;
+};
+
+struct FleetSettings {
+  /// Servers by zone; zones are named "a", "b" and so on.
+  std::vector<int> servers;
+  int instances_per_zone = 4;
+  std::uint16_t slots = 3;
+  /// Mean; requests vary by half of it in either direction.
+  Duration service_time = Millis(300);
+  /// Zones whose instances get requests; empty: all.
+  std::vector<std::string> caller_zones;
+  /// Whether the service's only route is at-most-once.
+  bool is_at_most_once_only = true;
+  std::uint64_t seed = 1;
+};
+
+struct FleetSimulation {
+  FleetSettings settings;
+  Random random;
+  TimePoint now;
+  std::vector<ForwarderFixture> instances;
+  std::vector<std::string> instance_zones;
+  std::map<std::string, SimulatedServer> servers;
+  /// Idle connections: when each was last used, by instance and server.
+  std::map<std::pair<std::size_t, std::string>, std::vector<TimePoint>> idle;
+  std::vector<SentRequest> sent;
+  std::size_t connections_opened = 0;
+  std::size_t declined = 0;
+  /// Requests that a server began to execute, and their time from the dispatch
+  /// to that.
+  std::size_t started = 0;
+  Duration waited{};
+  TimePoint next_arrival;
+};
+
+FleetSimulation MakeFleet(const FleetSettings& settings);
+
+/// Runs for `time` with Poisson arrivals at `requests_per_second`.
+void Run(FleetSimulation& fleet, Duration time, double requests_per_second);
+
+/// Sends the list of servers to all instances; call it after `is_listed` or an
+/// entry was changed.
+void PublishServers(FleetSimulation& fleet);
+/// Adds a server that starts now and publishes the list.
+void StartServer(FleetSimulation& fleet, const std::string& name,
+                 const std::string& zone);
+/// Ends the server's requests and lists a new incarnation, that starts now.
+void RestartServer(FleetSimulation& fleet, const std::string& name);
+
+/// Returns the servers that requests were sent to from `from` until `to`.
+std::set<std::string> ServersUsed(const FleetSimulation& fleet, TimePoint from,
+                                  TimePoint to);
+/// Number of callers' requests that were answered with `status`.
+std::size_t CountAnswers(const FleetSimulation& fleet, int status);
+
+}  // namespace ibisladder::gateway
+
+#endif  // TESTS_AUTO_GATEWAY_FLEET_SIMULATION_H_
