--- a/tests/auto/gateway/fleet_simulation.h
+++ b/tests/auto/gateway/fleet_simulation.h
@@ -56,12 +56,18 @@
   std::vector<std::string> caller_zones;
   /// Whether the service's only route is at-most-once.
   bool is_at_most_once_only = true;
+  /// Percentage of the requests that the route sends to another service, which
+  /// has no servers and serves none.
+  int unserved_percent = 0;
   std::uint64_t seed = 1;
 };
 
 struct FleetSimulation {
   FleetSettings settings;
+  /// For service times.
   Random random;
+  /// For arrivals, which so do not depend on decisions.
+  Random arrivals;
   TimePoint now;
   std::vector<ForwarderFixture> instances;
   std::vector<std::string> instance_zones;
