Decode and log the limits that backend servers name

The logs could not tell whether a server names a limit, since when and to which instance, so that the hypotheses of the incident could not be told apart. The field is decoded in platform/, kept for each server and logged when it changes (E1106). Empty, negative, infinite, huge and repeated fields are no limit and logged once for each text (E1107). No decision uses the limit yet.

--- a/src/libs/base/log_event.cc
+++ b/src/libs/base/log_event.cc
@@ -52,6 +52,10 @@
       return "concurrency_limit_changed";
     case LogEvent::kSubsetChanged:
       return "subset_changed";
+    case LogEvent::kServerLimitChanged:
+      return "server_limit_changed";
+    case LogEvent::kServerLimitInvalid:
+      return "server_limit_invalid";
     case LogEvent::kServerEjected:
       return "server_ejected";
     case LogEvent::kServerRestored:
--- a/src/libs/base/log_event.h
+++ b/src/libs/base/log_event.h
@@ -28,6 +28,8 @@
   kRetryBudgetSpent = 1103,
   kConcurrencyLimitChanged = 1104,
   kSubsetChanged = 1105,
+  kServerLimitChanged = 1106,
+  kServerLimitInvalid = 1107,
 
   kServerEjected = 1201,
   kServerRestored = 1202,
--- a/src/libs/base/strong_types.h
+++ b/src/libs/base/strong_types.h
@@ -61,6 +61,9 @@
                                     std::string_view server);
 OrganisationId MakeOrganisationId(std::string_view organisation);
 
+/// A rate of requests.
+using RequestsPerSecond = Strong<struct RequestsPerSecondTag, double>;
+
 /// IPv4 or IPv6 address, without brackets, with a port.
 struct Endpoint {
   std::string address;
--- a/src/libs/gateway/answers.cc
+++ b/src/libs/gateway/answers.cc
@@ -169,6 +169,7 @@
   }
   if (answer.wrong_server) MarkReplaced(context, service, attempt.server);
   const AttemptEnd end = ClassifyAnswer(answer);
+  RecordLimit(context, service, attempt.server, answer, end);
   CallId call_id;
   std::string server = "unlisted server";
   if (!CloseAttempt(context, id, end, call_id, server)) return;
--- a/src/libs/gateway/forwarder_state.h
+++ b/src/libs/gateway/forwarder_state.h
@@ -9,6 +9,7 @@
 #include "libs/base/random.h"
 #include "libs/gateway/forwarder.h"
 #include "libs/gateway/route_table.h"
+#include "libs/gateway/server_limits.h"
 
 /// Internal state and functions of the forwarder, shared by its source files.
 namespace ibisladder::gateway {
@@ -22,6 +23,9 @@
   /// When the warm-up began, over which the server's fraction of the requests
   /// grows; far enough in the past for servers that are warm.
   TimePoint warm_since;
+  LimitKnowledge limit;
+  /// Text of the last limit that could not be read.
+  std::string unreadable_limit;
 };
 
 struct ServiceState {
@@ -169,6 +173,15 @@
 /// Removes an attempt, and reports its end to the detector and the router.
 void EndAttempt(Context& context, AttemptId id, detection::AttemptEnd end);
 
+// limits.cc
+
+/// Records the limit that a server's answer names, or that it names none any
+/// more. Only answers that serve a request show the latter: a server may leave
+/// the limit out of others.
+void RecordLimit(Context& context, ServiceState& service,
+                 BackendServerId server, const ServerAnswer& answer,
+                 detection::AttemptEnd end);
+
 void Log(Context& context, LogEvent event, std::vector<LogField> fields);
 std::string FormatMillis(Duration duration);
 
--- a/src/libs/gateway/messages.h
+++ b/src/libs/gateway/messages.h
@@ -57,6 +57,11 @@
   std::string request_id;
   /// The server's current load, if the answer states it.
   std::optional<routing::LoadReport> load;
+  /// The requests that the server takes from all instances together, if it
+  /// names a limit.
+  std::optional<RequestsPerSecond> limit;
+  /// Text of a limit that cannot be read; empty without one.
+  std::string unreadable_limit;
 };
 
 /// Why an attempt ended without a complete answer.
--- a/tests/auto/platform/message_codec_test.cc
+++ b/tests/auto/platform/message_codec_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(RequestsAreConverted);
   CPPUNIT_TEST(AnswersAreDecoded);
   CPPUNIT_TEST(RejectionsHaveRetryAfter);
+  CPPUNIT_TEST(LimitsAreDecoded);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -51,6 +52,48 @@
     });
   }
 
+  /// Guards against a limit that stops all requests to a server, or crashes the
+  /// process, because its text is no usable number.
+  void LimitsAreDecoded() {
+    const auto codec = MakeMessageCodec();
+    const auto decode = [&](const net::Headers& headers) {
+      return codec.decode_answer({200, headers, ""});
+    };
+    Section("a decimal number is a limit", [&] {
+      for (const auto& [text, rate] :
+           {std::pair{"1.8", 1.8}, {"50", 50.0}, {"0.2", 0.2}, {"0", 0.0}}) {
+        const auto answer = decode({{"server-limit", text}});
+        CPPUNIT_ASSERT(answer.limit.has_value());
+        CPPUNIT_ASSERT_EQUAL(rate, answer.limit->value());
+        CPPUNIT_ASSERT(answer.unreadable_limit.empty());
+      }
+    });
+    Section("other texts are none, and are kept for the log", [&] {
+      for (const char* text :
+           {"", " ", "-1", "-0", "nan", "inf", "infinity", "1e3", "0x10",
+            "99999999999", "1.8/s", "1,8", "1.8, 2.2", "+2", "1 2"}) {
+        const auto answer = decode({{"Server-Limit", text}});
+        CPPUNIT_ASSERT_MESSAGE(text, !answer.limit);
+        CPPUNIT_ASSERT_MESSAGE(text, !answer.unreadable_limit.empty());
+      }
+    });
+    Section("two fields are none, even if they agree", [&] {
+      const auto answer =
+          decode({{"Server-Limit", "1.8"}, {"server-limit", "1.8"}});
+      CPPUNIT_ASSERT(!answer.limit);
+      CPPUNIT_ASSERT_EQUAL(std::string("1.8, 1.8"), answer.unreadable_limit);
+    });
+    Section("a long text is cut", [&] {
+      const auto answer = decode({{"Server-Limit", std::string(20000, '9')}});
+      CPPUNIT_ASSERT(!answer.limit);
+      CPPUNIT_ASSERT(answer.unreadable_limit.size() <= 64);
+    });
+    Section("no field, nothing to log", [&] {
+      const auto answer = decode({});
+      CPPUNIT_ASSERT(!answer.limit && answer.unreadable_limit.empty());
+    });
+  }
+
   void AnswersAreDecoded() {
     const auto codec = MakeMessageCodec();
     Section("a signed answer with its load", [&] {
