--- a/tests/auto/gateway/fleet_simulation.cc
+++ b/tests/auto/gateway/fleet_simulation.cc
@@ -40,6 +40,7 @@
   answer.is_signed = !not_run;
   answer.request_id = request.attempt.request->request_id;
   answer.load = ReportOf(fleet, server);
+  answer.limit = server.limit;
   auto& idle = fleet.idle[{request.instance, server.entry.name}];
   if (idle.size() < kMaxIdleConnections) idle.push_back(fleet.now);
   ForwarderFixture& instance = fleet.instances[request.instance];
@@ -352,6 +353,20 @@
   return names;
 }
 
+std::size_t MostSentWithin(const FleetSimulation& fleet,
+                           const std::string& server, Duration window,
+                           TimePoint from, TimePoint to) {
+  std::deque<TimePoint> recent;
+  std::size_t most = 0;
+  for (const SentRequest& it : fleet.sent) {
+    if (it.server != server || it.at < from || it.at >= to) continue;
+    recent.push_back(it.at);
+    while (it.at - recent.front() >= window) recent.pop_front();
+    most = std::max(most, recent.size());
+  }
+  return most;
+}
+
 std::size_t CountAnswers(const FleetSimulation& fleet, int status) {
   std::size_t n = 0;
   for (const ForwarderFixture& instance : fleet.instances) {
--- a/tests/auto/gateway/fleet_simulation.h
+++ b/tests/auto/gateway/fleet_simulation.h
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -35,6 +36,8 @@
   bool is_listed = true;
   /// Until then it is slower and reports that it warms up.
   TimePoint warm_at;
+  /// Named in its answers.
+  std::optional<RequestsPerSecond> limit;
   std::vector<ServerRequest> running;
   std::deque<ServerRequest> waiting;
 };
@@ -101,6 +104,11 @@
 /// Returns the servers that requests were sent to from `from` until `to`.
 std::set<std::string> ServersUsed(const FleetSimulation& fleet, TimePoint from,
                                   TimePoint to);
+/// Returns the largest number of requests that were sent to the server within
+/// `window`, in any such time between `from` and `to`.
+std::size_t MostSentWithin(const FleetSimulation& fleet,
+                           const std::string& server, Duration window,
+                           TimePoint from, TimePoint to);
 /// Number of callers' requests that were answered with `status`.
 std::size_t CountAnswers(const FleetSimulation& fleet, int status);
 
--- a/tests/process/closing_server.cc
+++ b/tests/process/closing_server.cc
@@ -143,6 +143,8 @@
   response.headers = {{platform::kServerName, name_},
                       {platform::kSignature, "s"},
                       {platform::kRequestId, request_id}};
+  response.headers.insert(response.headers.end(), extra_headers_.begin(),
+                          extra_headers_.end());
   response.body = request_id;
   const std::int64_t spread = kMaxServiceMs - kMinServiceMs + 1;
   const auto millis = static_cast<std::int64_t>(
--- a/tests/process/closing_server.h
+++ b/tests/process/closing_server.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "libs/base/random.h"
@@ -44,6 +45,10 @@
   /// connection at once, and the others when they have delivered a request,
   /// which counts as executed.
   void SetResetting(bool is_resetting);
+  /// Adds these fields to all further answers.
+  void SetExtraHeaders(net::Headers headers) {
+    extra_headers_ = std::move(headers);
+  }
 
  private:
   struct ListenerDeleter {
@@ -80,6 +85,7 @@
   Executions& executions_;
   Random random_;
   bool is_resetting_ = false;
+  net::Headers extra_headers_;
   std::uint64_t last_connection_ = 0;
   std::map<std::uint64_t, Connection> connections_;
   std::unique_ptr<evconnlistener, ListenerDeleter> listener_;
--- /dev/null
+++ b/tests/process/entry_fleet.h
@@ -0,0 +1,97 @@
+#ifndef TESTS_PROCESS_ENTRY_FLEET_H_
+#define TESTS_PROCESS_ENTRY_FLEET_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "libs/net/http_client.h"
+#include "tests/auto/platform/store_standin.h"
+#include "tests/auto/support/port_range.h"
+#include "tests/process/child_process.h"
+#include "tests/process/closing_server.h"
+
+/// Several real `ibisladder-entry` processes under steady traffic before
+/// backend servers that name limits. The store's stand-in, the servers and the
+/// callers share one event loop.
+namespace ibisladder::process {
+
+/// A request as its caller saw it.
+struct FleetCall {
+  TimePoint sent_at;
+  /// Empty as long as there is neither an answer nor a closed connection.
+  std::optional<TimePoint> ended_at;
+  /// 0 if the connection was closed without an answer.
+  int status = 0;
+  /// Of a refusal; empty without the field.
+  std::string retry_after;
+};
+
+class EntryFleet {
+ public:
+  struct Options {
+    int instances = 8;
+    int servers = 6;
+    double requests_per_second = 120;
+  };
+
+  /// Starts everything except the traffic. Throws std::runtime_error when an
+  /// instance does not become ready.
+  explicit EntryFleet(const Options& options);
+  ~EntryFleet();
+  EntryFleet(const EntryFleet&) = delete;
+  EntryFleet& operator=(const EntryFleet&) = delete;
+
+  /// Sends requests to the instances by turns for `time`; every second one is
+  /// at-most-once.
+  void Run(Duration time);
+  /// Waits until the requests in flight have ended.
+  void Settle();
+  /// Fields that the server adds to its answers from now on. `server` counts
+  /// from 1.
+  void SetHeaders(int server, const net::Headers& headers);
+  /// Kills an instance and starts it again. `instance` counts from 1.
+  void Restart(int instance);
+
+  std::vector<FleetCall> CallsSince(TimePoint since) const;
+  /// Returns the largest number of requests that the server got within
+  /// `window`, in any such time between `from` and `to`.
+  std::size_t MostWithin(int server, Duration window, TimePoint from,
+                         TimePoint to) const;
+  std::size_t CountAt(int server, TimePoint from, TimePoint to) const;
+  /// Number of times that a request was executed beyond its first execution.
+  std::size_t repeated_executions() const;
+  /// Returns the number of log lines of all instances with this text.
+  std::size_t CountLogLines(const std::string& text) const;
+  bool IsRunning(int instance);
+
+ private:
+  Endpoint At(int offset) const;
+  std::string File(const std::string& name) const;
+  void StartServers();
+  void StartInstance(int instance);
+  void AwaitReady(int instance);
+  void SendCall();
+  void EndCall(std::uint64_t number, int status, const net::Headers& headers);
+  void RunLoop(Duration time);
+
+  Options options_;
+  testing::PortRange ports_;
+  std::string directory_;
+  std::unique_ptr<net::EventLoop> loop_ = std::move(*net::EventLoop::Create());
+  platform::StoreStandin store_;
+  Executions executions_;
+  std::vector<std::unique_ptr<ClosingServer>> servers_;
+  net::HttpClient client_;
+  std::map<int, ChildProcess> instances_;
+  std::uint64_t last_call_ = 0;
+  int last_ready_status_ = 0;
+  std::map<std::uint64_t, FleetCall> calls_;
+};
+
+}  // namespace ibisladder::process
+
+#endif  // TESTS_PROCESS_ENTRY_FLEET_H_
--- /dev/null
+++ b/tests/process/entry_setup.cc
@@ -0,0 +1,61 @@
+#include "tests/process/entry_setup.h"
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+namespace ibisladder::process {
+namespace {
+
+using nlohmann::json;
+
+json Route(const std::string& host, const char* name, const char* prefix,
+           const char* kind) {
+  return {{"entry_kind", "routes"},
+          {"meta", {{"name", name}}},
+          {"spec",
+           {{"host", host},
+            {"prefix", prefix},
+            {"kind", kind},
+            {"timeout_s", 4},
+            {"target_latency_s", 0.5},
+            {"max_attempts", 3},
+            {"service", "shop"}}}};
+}
+
+}  // namespace
+
+std::string ConfigurationValue(const std::string& host) {
+  const json service = {
+      {"entry_kind", "services"},
+      {"meta", {{"name", "shop"}}},
+      {"spec", {{"health_path", "/healthz"}, {"max_conns", 1000}}}};
+  return json{{"version", 1},
+              {"resources",
+               {Route(host, "charge", "/charge", "non_idempotent"),
+                Route(host, "browse", "/browse", "idempotent"), service}}}
+      .dump();
+}
+
+std::string ServerValue(const Endpoint& endpoint, int slots) {
+  return json{
+      {"addr", FormatEndpoint(endpoint)},
+      {"info",
+       {{"service", "shop"}, {"zone", "a"}, {"max_concurrency", slots}}},
+      {"status", {{"state", "ready"}, {"seq", 1}}}}
+      .dump();
+}
+
+void WriteSettings(const std::string& file, const std::string& name,
+                   const EntryEndpoints& endpoints) {
+  std::ofstream(file) << "[local_node]\nnode_name = \"" << name
+                      << "\"\nip = \"127.0.0.1\"\nzone = \"a\"\n"
+                      << "[net]\ninternal_ports = [" << endpoints.peer_port
+                      << "]\n[net.listen]\nfront = \""
+                      << FormatEndpoint(endpoints.callers) << "\"\nready = \""
+                      << FormatEndpoint(endpoints.ready) << "\"\ndirectory = \""
+                      << FormatEndpoint(endpoints.directory)
+                      << "\"\n[provider.provider]\naddr = \""
+                      << FormatEndpoint(endpoints.store) << "\"\n";
+}
+
+}  // namespace ibisladder::process
--- /dev/null
+++ b/tests/process/entry_setup.h
@@ -0,0 +1,29 @@
+#ifndef TESTS_PROCESS_ENTRY_SETUP_H_
+#define TESTS_PROCESS_ENTRY_SETUP_H_
+
+#include <string>
+
+#include "libs/base/strong_types.h"
+
+/// Store items and settings files for real `ibisladder-entry` processes.
+namespace ibisladder::process {
+
+/// Value of the configuration: the at-most-once route /charge and the
+/// idempotent route /browse of `host`, both to the service "shop".
+std::string ConfigurationValue(const std::string& host);
+/// Value of a backend server's entry.
+std::string ServerValue(const Endpoint& endpoint, int slots);
+
+struct EntryEndpoints {
+  Endpoint callers;
+  Endpoint ready;
+  Endpoint directory;
+  Endpoint store;
+  std::uint16_t peer_port = 0;
+};
+void WriteSettings(const std::string& file, const std::string& name,
+                   const EntryEndpoints& endpoints);
+
+}  // namespace ibisladder::process
+
+#endif  // TESTS_PROCESS_ENTRY_SETUP_H_
--- a/tests/process/stalled_entry.cc
+++ b/tests/process/stalled_entry.cc
@@ -3,20 +3,17 @@
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
-#include <fstream>
-#include <nlohmann/json.hpp>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
 #include <utility>
 
 #include "platform/wire_names.h"
+#include "tests/process/entry_setup.h"
 
 namespace ibisladder::process {
 namespace {
 
-using nlohmann::json;
-
 constexpr int kStoreOffset = 0;
 constexpr int kCallersOffset = 1;
 constexpr int kReadyOffset = 2;
@@ -51,41 +48,6 @@
 constexpr Duration kReadyPollInterval = Millis(20);
 constexpr int kStatusOk = 200;
 
-json Route(const std::string& host, const char* name, const char* prefix,
-           const char* kind) {
-  return {{"entry_kind", "routes"},
-          {"meta", {{"name", name}}},
-          {"spec",
-           {{"host", host},
-            {"prefix", prefix},
-            {"kind", kind},
-            {"timeout_s", 4},
-            {"target_latency_s", 0.5},
-            {"max_attempts", 3},
-            {"service", "shop"}}}};
-}
-
-std::string ConfigurationValue(const std::string& host) {
-  const json service = {
-      {"entry_kind", "services"},
-      {"meta", {{"name", "shop"}}},
-      {"spec", {{"health_path", "/healthz"}, {"max_conns", 1000}}}};
-  return json{{"version", 1},
-              {"resources",
-               {Route(host, "charge", "/charge", "non_idempotent"),
-                Route(host, "browse", "/browse", "idempotent"), service}}}
-      .dump();
-}
-
-std::string ServerValue(const Endpoint& endpoint) {
-  return json{
-      {"addr", FormatEndpoint(endpoint)},
-      {"info",
-       {{"service", "shop"}, {"zone", "a"}, {"max_concurrency", kSlots}}},
-      {"status", {{"state", "ready"}, {"seq", 1}}}}
-      .dump();
-}
-
 std::int64_t Draw(Random& random, std::int64_t min, std::int64_t max) {
   const auto bound = static_cast<std::uint64_t>(max - min + 1);
   return min + static_cast<std::int64_t>(UniformBelow(random, bound));
@@ -139,20 +101,15 @@
         ClosingServer::Listen(*loop_, endpoint, ServerName(i), executions_);
     if (!server) throw std::runtime_error(server.error().message);
     servers_.push_back(std::move(*server));
-    store_.Put(platform::kServersPrefix + ServerName(i), ServerValue(endpoint));
+    store_.Put(platform::kServersPrefix + ServerName(i), ServerValue(endpoint, kSlots));
   }
 }
 
 void StalledEntry::StartInstance() {
   const std::string settings = File("settings.toml");
-  std::ofstream(settings)
-      << "[local_node]\nnode_name = \"n1\"\nip = \"127.0.0.1\"\nzone = \"a\"\n"
-      << "[net]\ninternal_ports = [" << ports_.At(kPeerOffset) << "]\n"
-      << "[net.listen]\nfront = \"" << FormatEndpoint(At(kCallersOffset))
-      << "\"\nready = \"" << FormatEndpoint(At(kReadyOffset))
-      << "\"\ndirectory = \"" << FormatEndpoint(At(kDirectoryOffset))
-      << "\"\n[provider.provider]\naddr = \""
-      << FormatEndpoint(At(kStoreOffset)) << "\"\n";
+  WriteSettings(settings, "n1",
+                {At(kCallersOffset), At(kReadyOffset), At(kDirectoryOffset),
+                 At(kStoreOffset), ports_.At(kPeerOffset)});
   instance_.emplace(std::vector<std::string>{IBIS_BIN_DIR "/ibisladder-entry",
                                              "--settings=" + settings},
                     File("instance.out"), File("instance.log"));
