Bound the memory and time of answers without end in HttpClient

A peer that sends without end (a status line or fields that never end, a chunk size, interim answers) made evhttp keep all bytes: the size of heads was not limited, and the timeout starts anew with each byte, so the call never ended. Heads are limited to 64 KB, the read buffer to the largest answer, and the whole call to twice its timeout. After a late turn of the event loop an answer that waits to be read still counts.

--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -20,6 +20,10 @@
 /// Below the usual keep-alive time of servers, so that a request is rarely sent
 /// on a connection that the server is closing.
 constexpr Duration kIdleLimit = Seconds(4);
+constexpr std::size_t kMaxHeaderBytes = 64U << 10U;
+/// A call whose answer makes progress may take so many times its timeout.
+constexpr int kTotalTimeoutFactor = 2;
+constexpr Duration kLateTurnGrace = Millis(100);
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
@@ -109,6 +113,7 @@
   bool answer_started = false;
   std::unique_ptr<Timer> connect_timer;
   std::unique_ptr<Timer> failure_timer;
+  std::unique_ptr<Timer> total_timer;
 };
 
 HttpClient::HttpClient(EventLoop& loop) : loop_(loop) {
@@ -145,6 +150,18 @@
   evhttp_connection_set_max_body_size(
       connection, static_cast<ev_ssize_t>(call.max_answer_bytes));
 
+  evhttp_connection_set_max_headers_size(
+      connection, static_cast<ev_ssize_t>(kMaxHeaderBytes));
+  bufferevent_setwatermark(evhttp_connection_get_bufferevent(connection),
+                           EV_READ, 0, call.max_answer_bytes + kMaxHeaderBytes);
+  StartTotalTimer(it, call.timeout * kTotalTimeoutFactor, [this, &it] {
+    // After a stall of the process the answer may only wait to be read.
+    StartTotalTimer(it, kLateTurnGrace, [this, id = it.id] {
+      Cancel(id);
+      error_.emit(HttpError{id, HttpFailure::kTimeout});
+    });
+  });
+
   it.request = evhttp_request_new(&HttpClient::OnDone, &it);
   evhttp_request_set_error_cb(it.request, &HttpClient::OnError);
   evhttp_request_set_header_cb(it.request, &HttpClient::OnHeader);
@@ -179,6 +196,12 @@
   }
 }
 
+void HttpClient::StartTotalTimer(Exchange& exchange, Duration time,
+                                 std::function<void()> action) {
+  exchange.total_timer = std::make_unique<Timer>(loop_, Timer::Kind::kOnce,
+                                                 time, std::move(action));
+}
+
 void HttpClient::Cancel(std::uint64_t id) {
   if (auto exchange = TakeExchange(id)) {
     evhttp_request* request = std::exchange(exchange->request, nullptr);
@@ -227,6 +250,7 @@
   exchanges_.erase(it);
   result->connect_timer.reset();
   result->failure_timer.reset();
+  result->total_timer.reset();
   if (result->connection != nullptr) {
     --pools_[result->connection->endpoint].busy;
   }
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -5,6 +5,7 @@
 #include <sigc++/sigc++.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -25,7 +26,8 @@
   std::string target = "/";
   Headers headers;
   std::string body;
-  /// The call fails with kTimeout after this time.
+  /// The call fails with kTimeout after this time without progress, or after
+  /// twice this time.
   Duration timeout = Seconds(5);
   std::size_t max_answer_bytes = 4U << 20U;
   /// Maximum number of concurrent calls to the endpoint; a call above it fails
@@ -94,6 +96,8 @@
   std::unique_ptr<Connection> TakeConnection(Pool& pool, const HttpCall& call);
   void Finish(Exchange& exchange, evhttp_request* request);
   void CheckConnected(std::uint64_t id);
+  void StartTotalTimer(Exchange& exchange, Duration time,
+                       std::function<void()> action);
   void ScheduleFailure(std::uint64_t id, HttpFailure failure);
   std::unique_ptr<Exchange> TakeExchange(std::uint64_t id);
 
