Reject interim answers, empty lines and chunk framing without end

All bytes since the last complete message now count against the limits: twice the head's before a head is complete, and as much framing as body after it.

--- a/src/libs/http1/message_parser.cc
+++ b/src/libs/http1/message_parser.cc
@@ -18,6 +18,8 @@
   bool expects_continue = false;
   /// Size of the current message's head so far, bytes.
   std::size_t head_bytes = 0;
+  /// Bytes received since the last complete message, interim answers aside.
+  std::size_t pending_bytes = 0;
   bool head_complete = false;
   bool last_was_value = false;
   std::optional<ParseFailure> failure;
@@ -128,11 +130,13 @@
   const bool keep_alive = http_should_keep_alive(parser) != 0;
   if (state.is_response) {
     if (parser->status_code < kFirstFinalStatus) return 0;
+    state.pending_bytes = 0;
     state.responses->push_back({static_cast<int>(parser->status_code),
                                 std::move(state.headers), std::move(state.body),
                                 keep_alive});
     return 0;
   }
+  state.pending_bytes = 0;
   if (std::exchange(state.is_closed, state.is_closed || !keep_alive)) return 0;
   const auto method = static_cast<http_method>(parser->method);
   state.requests->push_back({http_method_str(method), std::move(state.target),
@@ -166,15 +170,34 @@
   return state;
 }
 
+/// Checks the size of what the parser drops: empty lines and interim answers
+/// before a message, chunk extensions, trailers.
+std::optional<ParseFailure> CheckPendingBytes(const ParserState& state) {
+  /// Framing may be as long as the body.
+  constexpr std::size_t kFramingFactor = 2;
+  const Limits& limits = state.limits;
+  if (!state.head_complete || !state.in_message) {
+    const bool is_over = state.pending_bytes > 2 * limits.header_bytes;
+    return is_over ? std::optional(ParseFailure::kHeadersTooLarge)
+                   : std::nullopt;
+  }
+  const bool is_over =
+      state.pending_bytes >
+      2 * limits.header_bytes + kFramingFactor * limits.body_bytes;
+  return is_over ? std::optional(ParseFailure::kBodyTooLarge) : std::nullopt;
+}
+
 std::optional<ParseFailure> Execute(ParserState& state,
                                     std::string_view bytes) {
   if (state.failure) return state.failure;
+  state.pending_bytes += bytes.size();
   const std::size_t n = http_parser_execute(&state.parser, &Callbacks(),
                                             bytes.data(), bytes.size());
   if (state.failure) return state.failure;
   const bool is_invalid = HTTP_PARSER_ERRNO(&state.parser) != HPE_OK ||
                           n != bytes.size() || state.parser.upgrade != 0;
-  if (is_invalid) state.failure = ParseFailure::kMalformed;
+  state.failure = is_invalid ? std::optional(ParseFailure::kMalformed)
+                             : CheckPendingBytes(state);
   return state.failure;
 }
 
