--- a/src/plugins/gateway/server_connections.cc
+++ b/src/plugins/gateway/server_connections.cc
@@ -38,6 +38,8 @@
   std::optional<AttemptId> attempt;
   std::string request_id;
   std::size_t request_bytes = 0;
+  /// Read since the request was sent.
+  std::size_t answer_bytes = 0;
   TimePoint idle_since;
   Duration idle_timeout{};
 };
@@ -57,6 +59,9 @@
 constexpr Duration kIdleMargin = Seconds(1);
 constexpr std::size_t kMaxIdleConnections = 4;
 constexpr std::size_t kReadBufferBytes = 16384;
+/// Maximum size of all answers together that are not complete. They must fit an
+/// instance of 260 MB while strings grow by doubling.
+constexpr std::size_t kMaxReceivedBytes = 64U << 20U;
 
 /// Returns the timeout in seconds of a field like
 /// "Keep-Alive: timeout=5, max=100".
@@ -195,8 +200,13 @@
   while (!failure && evbuffer_get_length(input) > 0) {
     const int n = evbuffer_remove(input, buf, sizeof(buf));
     if (n <= 0) break;
+    connection.answer_bytes += static_cast<std::size_t>(n);
+    received_bytes_ += static_cast<std::size_t>(n);
     failure = connection.parser.Feed(
         std::string_view(buf, static_cast<std::size_t>(n)), responses);
+    if (responses.empty() && received_bytes_ > kMaxReceivedBytes) {
+      failure = http1::ParseFailure::kBodyTooLarge;
+    }
   }
   const std::uint64_t id = connection.id;
   if (!responses.empty()) HandleAnswer(connection, responses, !failure);
@@ -218,6 +228,7 @@
   http1::Response response = std::move(*it);
   const AttemptId attempt = *std::exchange(connection.attempt, std::nullopt);
   connection_of_attempt_.erase(attempt);
+  received_bytes_ -= std::exchange(connection.answer_bytes, 0);
   auto& idle = idle_[connection.server];
   // If the answer came early, the rest of the request is still being sent.
   const bool is_reusable =
@@ -287,6 +298,7 @@
     std::erase(idle->second, id);
     if (idle->second.empty()) idle_.erase(idle);
   }
+  received_bytes_ -= it->second->answer_bytes;
   connections_.erase(it);
 }
 
--- a/src/plugins/gateway/server_connections.h
+++ b/src/plugins/gateway/server_connections.h
@@ -75,6 +75,8 @@
   }
 
   std::size_t open_connections() const { return connections_.size(); }
+  /// Bytes that were read of answers that are not complete.
+  std::size_t received_bytes() const { return received_bytes_; }
   /// Connections opened since the start.
   std::uint64_t opened() const { return last_connection_id_; }
 
@@ -98,6 +100,7 @@
   net::EventLoop& loop_;
   http1::Limits limits_;
   RequestMatcher matches_request_;
+  std::size_t received_bytes_ = 0;
   std::uint64_t last_connection_id_ = 0;
   std::unordered_map<std::uint64_t, std::unique_ptr<Internal::ServerConnection>>
       connections_;
--- a/tests/auto/gateway/endless_answers_test.cc
+++ b/tests/auto/gateway/endless_answers_test.cc
@@ -28,6 +28,7 @@
 class EndlessAnswersTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EndlessAnswersTest);
   CPPUNIT_TEST(AnswersWithoutEndAreCutOff);
+  CPPUNIT_TEST(ManyLargeAnswersStayWithinTheMemory);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -62,6 +63,38 @@
     }
   }
 
+  /// Guards against many answers that are within the limit of one, but together
+  /// exceed the memory of the instance.
+  void ManyLargeAnswersStayWithinTheMemory() {
+    std::signal(SIGPIPE, SIG_IGN);
+    constexpr int kExchanges = 12;
+    auto loop = std::move(*net::EventLoop::Create());
+    std::vector<std::unique_ptr<EndlessServer>> servers;
+    ServerConnections connections(*loop, {}, &IsForAnyRequest);
+    int failures = 0;
+    std::size_t most = 0;
+    connections.signal_failure().connect(
+        [&](const ExchangeFailure&) { ++failures; });
+    for (int i = 0; i < kExchanges; ++i) {
+      const Endpoint endpoint{"127.0.0.1", kPorts.At(40 + i)};
+      servers.push_back(std::make_unique<EndlessServer>(
+          *loop, endpoint,
+          ibisladder::testing::EndlessAnswer{"", "HTTP/1.1 200 OK\r\n\r\n",
+                                             "x"}));
+      connections.Send({AttemptId(static_cast<std::uint64_t>(i + 1)),
+                        BackendServerId(static_cast<std::uint64_t>(i + 1)),
+                        endpoint, kRequest, false, "id"});
+    }
+    RunUntil(*loop, [&] {
+      most = std::max(most, connections.received_bytes());
+      return failures == kExchanges;
+    });
+    CPPUNIT_ASSERT_EQUAL(kExchanges, failures);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(most),
+                           most <= std::size_t{65} << 20U);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, connections.received_bytes());
+  }
+
  private:
   template <typename Condition>
   static void RunUntil(net::EventLoop& loop, const Condition& condition) {
