--- a/src/benchmarks/benchmark_decisions.cc
+++ b/src/benchmarks/benchmark_decisions.cc
@@ -9,6 +9,7 @@
 #include "libs/declarations/configuration.h"
 #include "libs/declarations/parse.h"
 #include "libs/detection/detector.h"
+#include "libs/gateway/server_limits.h"
 #include "libs/requests/request_table.h"
 #include "libs/routing/router.h"
 #include "libs/wire/peer_messages.h"
@@ -61,6 +62,26 @@
 }
 BENCHMARK(ChooseSubsetOf)->Arg(24)->Arg(50)->Arg(200);
 
+/// One permit, from the choice of the keeper to its decision, by members.
+void GivePermit(benchmark::State& state) {
+  std::vector<std::string> members;
+  for (int n = 0; n < state.range(0); ++n) {
+    members.push_back("entry-zone-" + std::to_string(n));
+  }
+  const BackendServerId server = MakeBackendServerId("service", "server");
+  gateway::PermitBucket bucket;
+  TimePoint now = kStart;
+  for (auto _ : state) {
+    now += kStep;
+    const auto keepers = gateway::KeepersOf(server, members);
+    benchmark::DoNotOptimize(keepers);
+    benchmark::DoNotOptimize(gateway::TakePermit(
+        bucket, RequestsPerSecond(50), gateway::KeeperRank::kFirst,
+        declarations::Priority::kNormal, now));
+  }
+}
+BENCHMARK(GivePermit)->Arg(32)->Arg(128)->Arg(540);
+
 void TakeOrganisation(benchmark::State& state) {
   const auto count = static_cast<std::uint64_t>(state.range(0));
   const auto limits = routing::MakeOrganisationLimits();
