Take no buffered or unread answer for that of the next HTTP call

HttpClient reused an idle connection by what evhttp had read so far: a second answer that waited in the kernel, or came together with the first one, was taken for that of the next call (404 in place of 200). For calls of the store that is a false "not found", conflict or success. A connection with input, or that has ended, is now discarded; it is freed after evhttp has left the call stack.

--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -119,6 +119,7 @@
 HttpClient::HttpClient(EventLoop& loop) : loop_(loop) {
   const auto clean_up = [](evutil_socket_t, short, void* self) {  // NOLINT
     static_cast<HttpClient*>(self)->finished_.clear();
+    static_cast<HttpClient*>(self)->discarded_.clear();
   };
   cleanup_event_.reset(event_new(loop.base(), -1, 0, clean_up, this));
 }
@@ -228,12 +229,22 @@
   return n;
 }
 
+bool HttpClient::HasInput(const Connection& connection) {
+  bufferevent* bev = evhttp_connection_get_bufferevent(connection.evhttp);
+  return evbuffer_get_length(bufferevent_get_input(bev)) > 0 ||
+         HasUnreadInput(bufferevent_getfd(bev));
+}
+
 std::unique_ptr<HttpClient::Connection> HttpClient::TakeConnection(
     Pool& pool, const HttpCall& call) {
-  if (!pool.idle.empty()) {
+  while (!pool.idle.empty()) {
     auto result = std::move(pool.idle.back());
     pool.idle.pop_back();
-    if (MonotonicNow() - result->idle_since <= kIdleLimit) return result;
+    const bool is_fresh = MonotonicNow() - result->idle_since <= kIdleLimit;
+    if (is_fresh && !HasInput(*result)) return result;
+    // Freed later: evhttp may still be on the call stack.
+    discarded_.push_back(std::move(result));
+    event_active(cleanup_event_.get(), EV_TIMEOUT, 0);
   }
   auto result = std::make_unique<Connection>();
   result->endpoint = call.endpoint;
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -93,6 +93,10 @@
   static int OnHeader(evhttp_request* request, void* exchange);
   static void OnError(evhttp_request_error error, void* exchange);
 
+  /// Whether an idle connection has received bytes, which belong to no further
+  /// call, or has ended. After a stall, the next call comes before evhttp reads
+  /// either.
+  static bool HasInput(const Connection& connection);
   std::unique_ptr<Connection> TakeConnection(Pool& pool, const HttpCall& call);
   void Finish(Exchange& exchange, evhttp_request* request);
   void CheckConnected(std::uint64_t id);
@@ -105,6 +109,7 @@
   std::map<Endpoint, Pool> pools_;
   std::unordered_map<std::uint64_t, std::unique_ptr<Exchange>> exchanges_;
   std::vector<std::unique_ptr<Exchange>> finished_;
+  std::vector<std::unique_ptr<Connection>> discarded_;
   EventPtr cleanup_event_;
   sigc::signal<void(HttpAnswer&)> answer_;
   sigc::signal<void(const HttpError&)> error_;
--- a/tests/auto/net/http_delivery_test.cc
+++ b/tests/auto/net/http_delivery_test.cc
@@ -8,6 +8,7 @@
 
 #include <csignal>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "libs/net/socket_address.h"
@@ -94,6 +95,7 @@
   CPPUNIT_TEST(RequestSentInALateTurnIsNotReportedAsUnsent);
   CPPUNIT_TEST(RequestThatAServerReadIsNotReportedAsUnsent);
   CPPUNIT_TEST(AnswerThatArrivedBeforeTheRequestIsNotItsAnswer);
+  CPPUNIT_TEST(CallFromAHandlerGetsNoAnswerThatIsBuffered);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -191,6 +193,52 @@
       CPPUNIT_ASSERT_EQUAL(std::size_t{1}, session.client.open_connections());
     });
   }
+
+  /// Guards against the same where the second answer came together with the
+  /// first one, and the next call is sent while the first one is handled; and
+  /// against a call that never ends then.
+  void CallFromAHandlerGetsNoAnswerThatIsBuffered() {
+    const std::string second = "HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n";
+    const std::vector<std::pair<const char*, std::string>> cases = {
+        {"a whole answer", second},
+        {"the start of an answer", second.substr(0, 10)},
+        {"many answers", second + second + second},
+        {"bytes that are no answer", "x"},
+        {"more than is read at once", std::string(1U << 20U, 'x')}};
+    for (const auto& [title, extra] : cases) {
+      Section(title, [&] { ExpectOwnAnswers(std::string(kAnswer) + extra); });
+    }
+  }
+
+ private:
+  /// Sends each call from the handler of the previous call's answer.
+  static void ExpectOwnAnswers(const std::string& answer) {
+    constexpr std::uint64_t kCalls = 3;
+    auto loop = std::move(*EventLoop::Create());
+    const CountingServer server(*loop, kCalls, answer);
+    HttpClient client(*loop);
+    std::vector<int> statuses;
+    const auto send = [&](std::uint64_t id) {
+      HttpCall call = CallTo(kRaw);
+      call.id = id;
+      client.Send(call);
+    };
+    client.signal_answer().connect([&](const HttpAnswer& it) {
+      statuses.push_back(it.status);
+      if (it.id < kCalls) {
+        send(it.id + 1);
+      } else {
+        loop->Stop();
+      }
+    });
+    client.signal_error().connect([&](const HttpError&) { loop->Stop(); });
+    const Timer guard(*loop, Timer::Kind::kOnce, Seconds(12),
+                      [&] { loop->Stop(); });
+    send(1);
+    loop->Run();
+    CPPUNIT_ASSERT((statuses == std::vector<int>{200, 200, 200}));
+    CPPUNIT_ASSERT_EQUAL(3, server.requests());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpDeliveryTest);
