--- a/src/libs/routing/router.cc
+++ b/src/libs/routing/router.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "libs/routing/choice.h"
+#include "libs/routing/limits.h"
 #include "libs/routing/router_state.h"
 #include "libs/routing/share.h"
 
@@ -34,20 +35,8 @@
 /// success.
 constexpr std::size_t kMaxBlockedTries = 4;
 constexpr Duration kMinRetryAfter = Millis(500);
-/// Added to the time until a server with a limit may take a request.
-constexpr Duration kMinLimitedWait = Millis(50);
-constexpr Duration kMaxRetryAfter = Seconds(10);
-/// Lower limits count as this.
-constexpr double kMinLimit = 0.05;
 constexpr Duration kNoServerRetryAfter = Seconds(1);
 
-/// Returns a random time in [base, 2 * base), so that callers do not return
-/// simultaneously.
-Duration JitterRetryAfter(Duration base, Random& random) {
-  const auto bound = static_cast<std::uint64_t>(base.count());
-  return base + Micros(static_cast<std::int64_t>(UniformBelow(random, bound)));
-}
-
 /// Returns the expected time until the requests in flight here have let `ahead`
 /// calls and one more through.
 Duration ExpectedWait(const Router& router, double ahead) {
@@ -68,45 +57,6 @@
           JitterRetryAfter(kNoServerRetryAfter, random)};
 }
 
-/// Returns a server whose limit keeps the request from being sent, if limits
-/// are all that does: the one to which the next caller should return first.
-ServerLoad* FindLimitingServer(Router& router, const RoutingRequest& request,
-                               TimePoint now) {
-  const auto& list = !router.healthy.empty() ? router.healthy
-                     : !router.last_resort.empty()
-                         ? router.last_resort
-                         : router.fails_fast_last_resort;
-  ServerLoad* result = nullptr;
-  for (const std::uint32_t it : list) {
-    ServerLoad& server = router.servers[it];
-    if (!IsHeldByLimit(server, request, now)) return nullptr;
-    if (result == nullptr || server.next_return < result->next_return) {
-      result = &server;
-    }
-  }
-  return result;
-}
-
-/// Refuses a request because of the servers' limits. Callers are told to return
-/// one after the other, at the rate at which the server takes requests; the
-/// other instances that use it do the same.
-Refused RefuseLimited(const Router& router, const RoutingRequest& request,
-                      ServerLoad& server, TimePoint now, Random& random) {
-  constexpr double kMicrosPerSecond = 1e6;
-  const auto priority = static_cast<std::size_t>(request.priority);
-  const TimePoint latest = now + kMaxRetryAfter;
-  const TimePoint earliest = std::clamp(
-      std::max(server.next_permits[priority], server.next_return), now, latest);
-  const double turn = kMicrosPerSecond *
-                      static_cast<double>(router.users_per_server) /
-                      server.limit_per_second;
-  server.next_return =
-      earliest +
-      std::min(Micros(static_cast<std::int64_t>(turn)), kMaxRetryAfter);
-  return {ResultCode::kServersLimited,
-          earliest - now + JitterRetryAfter(kMinLimitedWait, random)};
-}
-
 /// Returns the time that a queued call must have left: about one answer, unless
 /// its caller gave it less from the start.
 Duration MinTimeLeft(const Router& router, const Waiting& waiting) {
@@ -259,12 +209,6 @@
   CountOutcome(router.unserved_ratio, end == detection::AttemptEnd::kOk);
 }
 
-void EndInFlight(Router& router, ServerLoad& server) {
-  if (server.in_flight == 0) return;
-  --server.in_flight;
-  --router.in_flight;
-}
-
 }  // namespace
 }  // namespace Internal
 
@@ -414,33 +358,6 @@
   }
 }
 
-void SetLimited(Router& router, BackendServerId server,
-                std::optional<RequestsPerSecond> limit) {
-  const auto it = router.index.find(server);
-  if (it == router.index.end()) return;
-  Internal::ServerLoad& load = router.servers[it->second];
-  load.limit_per_second =
-      limit ? std::max(limit->value(), Internal::kMinLimit) : 0;
-  // The waits were those of another limit.
-  load.next_permits = {};
-  load.next_return = {};
-}
-
-void PermitDenied(Router& router, BackendServerId server,
-                  const std::array<TimePoint, kPriorities>& next_permits) {
-  const auto it = router.index.find(server);
-  if (it == router.index.end()) return;
-  Internal::ServerLoad& load = router.servers[it->second];
-  load.next_permits = next_permits;
-  Internal::EndInFlight(router, load);
-}
-
-void CancelDispatch(Router& router, BackendServerId server) {
-  const auto it = router.index.find(server);
-  if (it == router.index.end()) return;
-  Internal::EndInFlight(router, router.servers[it->second]);
-}
-
 std::vector<Placed> Pump(Router& router, TimePoint now, Random& random) {
   if (router.queue.size > 0) Internal::ServeQueue(router, now, random);
   return std::exchange(router.decided, {});
--- /dev/null
+++ b/src/plugins/fleet/datagrams.h
@@ -0,0 +1,28 @@
+#ifndef PLUGINS_FLEET_DATAGRAMS_H_
+#define PLUGINS_FLEET_DATAGRAMS_H_
+
+#include <string>
+
+#include "libs/wire/bounded_archive.h"
+
+/// Datagrams between instances: one byte for the kind, then the content.
+namespace ibisladder::fleet {
+
+/// First byte of a datagram.
+enum class DatagramKind : char {
+  kEvidence = 'e',
+  kListUpdate = 'n',
+  kLimits = 'l',
+  kLimitsQuestion = 'q',
+  kPermitRequest = 'p',
+  kPermitReply = 'r',
+};
+
+template <typename T>
+std::string EncodeDatagram(DatagramKind kind, const T& value) {
+  return static_cast<char>(kind) + wire::EncodePortable(value);
+}
+
+}  // namespace ibisladder::fleet
+
+#endif  // PLUGINS_FLEET_DATAGRAMS_H_
--- a/src/plugins/fleet/fleet_task.cc
+++ b/src/plugins/fleet/fleet_task.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "libs/wire/bounded_archive.h"
+#include "plugins/fleet/datagrams.h"
 
 namespace ibisladder::fleet {
 namespace {
@@ -28,46 +29,9 @@
 /// How long differences from the watcher may last before the lists or the
 /// configuration are read again. Reordered datagrams cause shorter ones.
 constexpr Duration kSyncTimeout = Millis(350);
-/// Interval at which an instance asks a random other one for the limits of
-/// servers, in case news were lost; shorter after the start, when it knows
-/// none.
-constexpr Duration kLimitsInterval = Seconds(10);
-constexpr Duration kFirstLimitsInterval = Millis(300);
-constexpr int kFirstLimitsQuestions = 3;
-/// Keeps datagrams below the usual size of packets.
-constexpr std::size_t kMaxLimitsPerDatagram = 40;
 /// Consecutive failed calls after which the store is considered lost.
 constexpr std::uint32_t kFailuresUntilLost = 3;
 
-/// First byte of a datagram.
-enum class DatagramKind : char {
-  kEvidence = 'e',
-  kListUpdate = 'n',
-  kLimits = 'l',
-  kLimitsQuestion = 'q',
-  kPermitRequest = 'p',
-  kPermitReply = 'r',
-};
-
-struct EvidenceDatagram {
-  InstanceId sender;
-  std::vector<detection::Digest> digests;
-
-  template <typename Archive>
-  void serialize(Archive& archive) {
-    archive(sender, digests);
-  }
-};
-
-InstanceId InstanceIdOf(const gateway::Member& member) {
-  return InstanceId(static_cast<std::uint32_t>(member.incarnation.value()));
-}
-
-template <typename T>
-std::string EncodeDatagram(DatagramKind kind, const T& value) {
-  return static_cast<char>(kind) + wire::EncodePortable(value);
-}
-
 storesync::ViewSettings MakeViewSettings(const std::string& prefix,
                                          Duration min_watch_interval) {
   storesync::ViewSettings settings;
@@ -212,12 +176,6 @@
   }
 }
 
-void FleetTask::SendTo(const gateway::Member& member,
-                       const std::string& bytes) {
-  if (member.name != options_.self.name)
-    peer_socket_->Send(member.peer_endpoint, bytes);
-}
-
 void FleetTask::SendDue(storesync::StoreView& view, CallOwner owner) {
   if (const auto call = storesync::NextCall(view, net::MonotonicNow())) {
     Send(owner, *call);
@@ -375,89 +333,6 @@
       members_, options_.self.name, options_.directory));
 }
 
-void FleetTask::ShareEvidence(const std::vector<detection::Digest>& digests) {
-  const std::string bytes =
-      EncodeDatagram(DatagramKind::kEvidence,
-                     EvidenceDatagram{InstanceIdOf(options_.self), digests});
-  SendToAll(bytes);
-}
-
-void FleetTask::SendToAll(const std::string& bytes) {
-  for (const auto& it : members_) SendTo(it, bytes);
-}
-
-void FleetTask::ShareLimits(const std::vector<gateway::LimitNews>& news) {
-  SendToAll(EncodeDatagram(DatagramKind::kLimits, news));
-}
-
-void FleetTask::SendLimits(const Endpoint& peer,
-                           const std::vector<gateway::LimitNews>& news) {
-  for (std::size_t i = 0; i < news.size(); i += kMaxLimitsPerDatagram) {
-    const std::size_t n = std::min(kMaxLimitsPerDatagram, news.size() - i);
-    const auto first = news.begin() + static_cast<std::ptrdiff_t>(i);
-    const std::vector<gateway::LimitNews> part(
-        first, first + static_cast<std::ptrdiff_t>(n));
-    peer_socket_->Send(peer, EncodeDatagram(DatagramKind::kLimits, part));
-  }
-}
-
-void FleetTask::AskPermit(const gateway::AskPermit& question) {
-  const auto it =
-      std::ranges::find(members_, question.keeper, &gateway::Member::name);
-  if (it == members_.end()) return;
-  SendTo(*it, EncodeDatagram(DatagramKind::kPermitRequest, question.request));
-}
-
-void FleetTask::AnswerPermit(const gateway::AnswerPermit& answer) {
-  peer_socket_->Send(answer.peer,
-                     EncodeDatagram(DatagramKind::kPermitReply, answer.reply));
-}
-
-void FleetTask::AskForLimitsIfDue(TimePoint now) {
-  const Duration interval = limits_questions_ < kFirstLimitsQuestions
-                                ? kFirstLimitsInterval
-                                : kLimitsInterval;
-  const bool is_due =
-      has_lists_ && members_.size() > 1 && now - limits_asked_at_ >= interval;
-  if (!is_due) return;
-  limits_asked_at_ = now;
-  ++limits_questions_;
-  const auto& peer = members_[UniformBelow(random_, members_.size())];
-  SendTo(peer,
-         std::string(1, static_cast<char>(DatagramKind::kLimitsQuestion)));
-}
-
-void FleetTask::HandleDatagram(const net::Datagram& datagram) {
-  const std::string_view bytes = datagram.bytes;
-  const auto kind = static_cast<DatagramKind>(bytes.empty() ? 0 : bytes[0]);
-  const std::string_view body = bytes.substr(bytes.empty() ? 0 : 1);
-  EvidenceDatagram evidence;
-  gateway::ListUpdate update;
-  std::vector<gateway::LimitNews> limits;
-  gateway::PermitRequest request;
-  gateway::PermitReply reply;
-  if (kind == DatagramKind::kEvidence && wire::DecodePortable(body, evidence)) {
-    evidence_received_.emit(evidence.sender, evidence.digests);
-  } else if (kind == DatagramKind::kListUpdate &&
-             wire::DecodePortable(body, update)) {
-    HandleUpdate(update);
-  } else if (kind == DatagramKind::kLimits &&
-             wire::DecodePortable(body, limits)) {
-    limits_received_.emit(limits);
-  } else if (kind == DatagramKind::kLimitsQuestion) {
-    limits_asked_.emit(datagram.peer);
-  } else if (kind == DatagramKind::kPermitRequest &&
-             wire::DecodePortable(body, request)) {
-    permit_requested_.emit(datagram.peer, request);
-  } else if (kind == DatagramKind::kPermitReply &&
-             wire::DecodePortable(body, reply)) {
-    permit_replied_.emit(reply);
-  } else {
-    Log(LogEvent::kDatagramDropped,
-        {{"peer", FormatEndpoint(datagram.peer)}, {"reason", "malformed"}});
-  }
-}
-
 void FleetTask::HandleUpdate(const gateway::ListUpdate& update) {
   const TimePoint now = net::MonotonicNow();
   gateway::RecordUpdate(watch_duty_, update.sender, now);
--- a/tests/auto/gateway/fleet_simulation.cc
+++ b/tests/auto/gateway/fleet_simulation.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "tests/auto/gateway/fleet_exchange.h"
+
 namespace ibisladder::gateway {
 namespace {
 
@@ -120,46 +122,6 @@
   }
 }
 
-bool AreConnected(const FleetSimulation& fleet, std::size_t a, std::size_t b) {
-  return !fleet.cut_off.contains(a) && !fleet.cut_off.contains(b);
-}
-
-/// Returns the number of the instance with this name.
-std::size_t IndexOf(const FleetSimulation& fleet, const std::string& name) {
-  const auto it = std::ranges::find(fleet.members, name, &Member::name);
-  return static_cast<std::size_t>(it - fleet.members.begin());
-}
-
-/// Carries requests for permits to the keepers, and their replies back.
-/// Instances are addressed by their numbers as ports.
-bool ExchangePermits(FleetSimulation& fleet) {
-  bool delivered = false;
-  for (std::size_t from = 0; from < fleet.instances.size(); ++from) {
-    const auto requests =
-        std::exchange(fleet.instances[from].permit_requests, {});
-    for (const AskPermit& it : requests) {
-      ++fleet.permit_messages;
-      const std::size_t to = IndexOf(fleet, it.keeper);
-      if (!AreConnected(fleet, from, to)) continue;
-      ForwarderFixture& keeper = fleet.instances[to];
-      PermitRequested(*keeper.forwarder, {"", static_cast<std::uint16_t>(from)},
-                      it.request, fleet.now);
-      CollectActions(keeper);
-      delivered = true;
-    }
-  }
-  for (ForwarderFixture& keeper : fleet.instances) {
-    for (const auto& it : std::exchange(keeper.permit_replies, {})) {
-      ++fleet.permit_messages;
-      ForwarderFixture& asker = fleet.instances[it.peer.port];
-      PermitReplied(*asker.forwarder, it.reply, fleet.now);
-      CollectActions(asker);
-      delivered = true;
-    }
-  }
-  return delivered;
-}
-
 /// Delivers attempts until none is left, as failed ones may be followed by
 /// others.
 void DeliverAll(FleetSimulation& fleet) {
@@ -204,32 +166,6 @@
   }
 }
 
-void ExchangeEvidence(FleetSimulation& fleet) {
-  for (std::size_t from = 0; from < fleet.instances.size(); ++from) {
-    const auto digests = std::exchange(fleet.instances[from].evidence, {});
-    if (digests.empty()) continue;
-    for (std::size_t to = 0; to < fleet.instances.size(); ++to) {
-      if (to == from) continue;
-      MergeEvidence(*fleet.instances[to].forwarder,
-                    InstanceId(static_cast<std::uint32_t>(from)), digests,
-                    fleet.now);
-      CollectActions(fleet.instances[to]);
-    }
-  }
-}
-
-void ExchangeLimits(FleetSimulation& fleet) {
-  for (std::size_t from = 0; from < fleet.instances.size(); ++from) {
-    const auto news = std::exchange(fleet.instances[from].limits, {});
-    if (news.empty()) continue;
-    for (std::size_t to = 0; to < fleet.instances.size(); ++to) {
-      if (to == from || !AreConnected(fleet, from, to)) continue;
-      MergeLimits(*fleet.instances[to].forwarder, news, fleet.now);
-      CollectActions(fleet.instances[to]);
-    }
-  }
-}
-
 /// Returns a random instance that gets requests.
 std::size_t DrawInstance(FleetSimulation& fleet) {
   std::vector<std::size_t> choices;
@@ -420,29 +356,6 @@
   StartServer(fleet, name, zone);
 }
 
-std::set<std::string> ServersUsed(const FleetSimulation& fleet, TimePoint from,
-                                  TimePoint to) {
-  std::set<std::string> names;
-  for (const SentRequest& it : fleet.sent) {
-    if (it.at >= from && it.at < to) names.insert(it.server);
-  }
-  return names;
-}
-
-std::size_t MostSentWithin(const FleetSimulation& fleet,
-                           const std::string& server, Duration window,
-                           TimePoint from, TimePoint to) {
-  std::deque<TimePoint> recent;
-  std::size_t most = 0;
-  for (const SentRequest& it : fleet.sent) {
-    if (it.server != server || it.at < from || it.at >= to) continue;
-    recent.push_back(it.at);
-    while (it.at - recent.front() >= window) recent.pop_front();
-    most = std::max(most, recent.size());
-  }
-  return most;
-}
-
 void RestartInstance(FleetSimulation& fleet, std::size_t instance) {
   const auto is_own = [&](const ServerRequest& it) {
     return it.instance == instance;
@@ -466,34 +379,4 @@
   CollectActions(fleet.instances[instance]);
 }
 
-std::size_t CountSent(const FleetSimulation& fleet, const std::string& server,
-                      TimePoint from, TimePoint to) {
-  return static_cast<std::size_t>(
-      std::ranges::count_if(fleet.sent, [&](const SentRequest& it) {
-        return it.server == server && it.at >= from && it.at < to;
-      }));
-}
-
-std::size_t CountAnswers(const FleetSimulation& fleet, int status,
-                         bool is_low) {
-  std::size_t n = 0;
-  for (std::size_t i = 0; i < fleet.instances.size(); ++i) {
-    for (const auto& [call, answer] : fleet.instances[i].answers) {
-      const bool matches = fleet.low_priority.contains({i, call}) == is_low;
-      if (answer.status == status && matches) ++n;
-    }
-  }
-  return n;
-}
-
-std::size_t CountAnswers(const FleetSimulation& fleet, int status) {
-  std::size_t n = 0;
-  for (const ForwarderFixture& instance : fleet.instances) {
-    for (const auto& [call, answer] : instance.answers) {
-      if (answer.status == status) ++n;
-    }
-  }
-  return n;
-}
-
 }  // namespace ibisladder::gateway
--- a/tests/auto/net/http_delivery_test.cc
+++ b/tests/auto/net/http_delivery_test.cc
@@ -205,8 +205,9 @@
         {"many answers", second + second + second},
         {"bytes that are no answer", "x"},
         {"more than is read at once", std::string(1U << 20U, 'x')}};
-    for (const auto& [title, extra] : cases) {
-      Section(title, [&] { ExpectOwnAnswers(std::string(kAnswer) + extra); });
+    for (const auto& it : cases) {
+      Section(it.first,
+              [&] { ExpectOwnAnswers(std::string(kAnswer) + it.second); });
     }
   }
 
--- a/tests/process/stalled_entry.cc
+++ b/tests/process/stalled_entry.cc
@@ -101,7 +101,8 @@
         ClosingServer::Listen(*loop_, endpoint, ServerName(i), executions_);
     if (!server) throw std::runtime_error(server.error().message);
     servers_.push_back(std::move(*server));
-    store_.Put(platform::kServersPrefix + ServerName(i), ServerValue(endpoint, kSlots));
+    store_.Put(platform::kServersPrefix + ServerName(i),
+               ServerValue(endpoint, kSlots));
   }
 }
 
