Keep hedges from delaying the callers that are told to return

A hedge that found no server but those with limits was refused like a caller and took the next place in the order of return: each slow call moved it by a turn ten times a second, so that callers were told to return up to 10 s late. Found in the read-through; the test failed before. Denied permits of earlier attempts no longer count against a retry.

--- a/src/libs/gateway/forwarder_state.h
+++ b/src/libs/gateway/forwarder_state.h
@@ -81,7 +81,7 @@
   TimePoint hedge_tried_at;
   /// Number of the permit that it waits for; 0: it waits for none.
   std::uint64_t permit = 0;
-  /// Permits that it did not get.
+  /// Permits that it did not get since its latest attempt.
   std::uint32_t denials = 0;
   /// How its latest attempt was placed.
   bool is_retry = false;
--- a/src/libs/gateway/requests.cc
+++ b/src/libs/gateway/requests.cc
@@ -144,6 +144,7 @@
   const auto it = service.servers.find(dispatch.server);
   const AttemptId attempt(++forwarder.last_attempt);
   call.is_queued = false;
+  call.denials = 0;
   call.tried.push_back(dispatch.server);
   call.in_flight.push_back(attempt);
   ++call.attempts;
--- a/src/libs/routing/limits.cc
+++ b/src/libs/routing/limits.cc
@@ -14,17 +14,6 @@
 
 }  // namespace
 
-Duration JitterRetryAfter(Duration base, Random& random) {
-  const auto bound = static_cast<std::uint64_t>(base.count());
-  return base + Micros(static_cast<std::int64_t>(UniformBelow(random, bound)));
-}
-
-void EndInFlight(Router& router, ServerLoad& server) {
-  if (server.in_flight == 0) return;
-  --server.in_flight;
-  --router.in_flight;
-}
-
 ServerLoad* FindLimitingServer(Router& router, const RoutingRequest& request,
                                TimePoint now) {
   const auto& list = !router.healthy.empty() ? router.healthy
--- a/src/libs/routing/limits.h
+++ b/src/libs/routing/limits.h
@@ -7,13 +7,6 @@
 /// together.
 namespace ibisladder::routing::Internal {
 
-/// Returns a random time in [base, 2 * base), so that callers do not return
-/// simultaneously.
-Duration JitterRetryAfter(Duration base, Random& random);
-
-/// Records that a dispatched attempt has ended, or is not sent.
-void EndInFlight(Router& router, ServerLoad& server);
-
 /// Returns a server whose limit keeps the request from being sent, if limits
 /// are all that does: the one to which the next caller should return first.
 ServerLoad* FindLimitingServer(Router& router, const RoutingRequest& request,
--- a/src/libs/routing/router.cc
+++ b/src/libs/routing/router.cc
@@ -174,6 +174,8 @@
     auto dispatch = TryDispatch(router, request, now, random);
     if (dispatch) return std::move(*dispatch);
     if (auto* limiting = FindLimitingServer(router, request, now)) {
+      // The call goes on, so that no caller is told to return.
+      if (request.is_hedge) return RefuseOverload(router, random);
       return RefuseLimited(router, request, *limiting, now, random);
     }
     return Enqueue(router, request, now, random);
@@ -210,6 +212,7 @@
 }
 
 }  // namespace
+
 }  // namespace Internal
 
 void RouterDeleter::operator()(Router* router) const { delete router; }
--- a/src/libs/routing/router_state.h
+++ b/src/libs/routing/router_state.h
@@ -81,6 +81,17 @@
   std::uint32_t since_trial = 0;
 };
 
+namespace Internal {
+
+/// Returns a random time in [base, 2 * base), so that callers do not return
+/// simultaneously.
+Duration JitterRetryAfter(Duration base, Random& random);
+
+/// Records that a dispatched attempt has ended, or is not sent.
+void EndInFlight(Router& router, ServerLoad& server);
+
+}  // namespace Internal
+
 }  // namespace ibisladder::routing
 
 #endif  // LIBS_ROUTING_ROUTER_STATE_H_
--- a/tests/auto/gateway/limited_calls_test.cc
+++ b/tests/auto/gateway/limited_calls_test.cc
@@ -21,6 +21,7 @@
 class LimitedCallsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LimitedCallsTest);
   CPPUNIT_TEST(RefusalsComeAtOnceWithTheTimeToReturn);
+  CPPUNIT_TEST(HedgesDoNotDelayTheReturnOfCallers);
   CPPUNIT_TEST(DeclinedCallsDoNotWaitForALimit);
   CPPUNIT_TEST(WeightsOfASplitAreKept);
   CPPUNIT_TEST(MalformedMessagesDoNoHarm);
@@ -62,6 +63,26 @@
     });
   }
 
+  /// Guards against callers that are told to return late, since hedges that
+  /// found no server took their places.
+  void HedgesDoNotDelayTheReturnOfCallers() {
+    ForwarderSettings settings;
+    // So that the budget is full from the start.
+    settings.retry_slack = 5;
+    ForwarderFixture fixture = MakeFixture(1, settings);
+    const CallId first = Arrive(fixture, "/read/1");
+    AnswerWithLimit(fixture, LastAttempt(fixture, first), 1);
+    Advance(fixture, Seconds(1));
+    const CallId slow = Arrive(fixture, "/read/1");
+    CPPUNIT_ASSERT_EQUAL(1, AttemptsOf(fixture, slow));
+    Advance(fixture, Millis(1500));
+    // Uses the permit that has become available.
+    Arrive(fixture, "/read/1");
+    const CallId refused = Arrive(fixture, "/read/1");
+    CPPUNIT_ASSERT(fixture.answers.contains(refused));
+    CPPUNIT_ASSERT(*fixture.answers.at(refused).retry_after < Seconds(2));
+  }
+
   /// Guards against a call that a server declined and that then waits, perhaps
   /// to its deadline, since the only server that it has not tried has a limit.
   void DeclinedCallsDoNotWaitForALimit() {
