--- a/src/libs/gateway/limits.cc
+++ b/src/libs/gateway/limits.cc
@@ -58,6 +58,7 @@
          {"before", FormatLimit(server.limit.limit)},
          {"source", source}});
     routing::SetLimited(*service.router, id, known.limit);
+    // Nobody has given permits before.
     if (!server.limit.limit) server.permits = {1, context.now};
   }
   server.limit = known;
--- a/src/libs/gateway/server_limits.cc
+++ b/src/libs/gateway/server_limits.cc
@@ -7,8 +7,6 @@
 namespace ibisladder::gateway {
 namespace {
 
-/// Lower limits are raised to this, so that some answer shows when they end.
-constexpr double kMinLimit = 0.05;
 constexpr double kMaxLimit = 1e6;
 /// Permits that a first keeper saves up, and the seconds of the limit that come
 /// on top. Users allow 1.5 times the limit and five requests in any 4 s. Two
@@ -21,13 +19,13 @@
 constexpr double kFallbackPart = 1.0 / 3;
 /// Requests of lower priority leave this much to those of higher ones.
 constexpr std::array<double, routing::kPriorities> kReserved = {0, 0.5, 1};
-/// Demand may fall meanwhile.
+/// Maximum wait that a denial tells, since demand may fall meanwhile.
 constexpr Duration kMaxWait = Seconds(5);
 /// Older news are of no use.
 constexpr Duration kMaxNewsAge = Seconds(3600);
 
 double RateOf(RequestsPerSecond limit, KeeperRank rank) {
-  const double rate = std::max(limit.value(), kMinLimit);
+  const double rate = std::max(limit.value(), routing::kMinServerLimit);
   return rank == KeeperRank::kFallback ? rate * kFallbackPart : rate;
 }
 
--- a/src/libs/gateway/server_limits.h
+++ b/src/libs/gateway/server_limits.h
@@ -71,7 +71,7 @@
   bool is_granted = false;
   /// The keeper does not know the server or is not one of its keepers.
   bool is_unknown = false;
-  /// The keeper's knowledge of the limit, if it is newer than the asker's.
+  /// The keeper's knowledge of the limit, if `has_news`.
   LimitNews news;
   bool has_news = false;
   /// Times until a permit is available for requests of each priority.
@@ -106,8 +106,8 @@
 };
 
 /// Takes a permit, or returns the times until there is one for requests of each
-/// priority. New buckets start empty, as another keeper may have given permits
-/// just before.
+/// priority. A bucket that is used for the first time starts to fill then, as
+/// another keeper may have given permits just before.
 std::optional<std::array<Duration, routing::kPriorities>> TakePermit(
     PermitBucket& bucket, RequestsPerSecond limit, KeeperRank rank,
     declarations::Priority priority, TimePoint now);
--- a/src/libs/routing/limits.cc
+++ b/src/libs/routing/limits.cc
@@ -9,8 +9,6 @@
 /// Added to the time until a server with a limit may take a request.
 constexpr Duration kMinLimitedWait = Millis(50);
 constexpr Duration kMaxRetryAfter = Seconds(10);
-/// Lower limits count as this.
-constexpr double kMinLimit = 0.05;
 
 }  // namespace
 
@@ -55,8 +53,7 @@
   const auto it = router.index.find(server);
   if (it == router.index.end()) return;
   Internal::ServerLoad& load = router.servers[it->second];
-  load.limit_per_second =
-      limit ? std::max(limit->value(), Internal::kMinLimit) : 0;
+  load.limit_per_second = limit ? std::max(limit->value(), kMinServerLimit) : 0;
   // The waits were those of another limit.
   load.next_permits = {};
   load.next_return = {};
--- a/src/libs/routing/router.h
+++ b/src/libs/routing/router.h
@@ -24,6 +24,10 @@
 /// Number of values of declarations::Priority.
 constexpr std::size_t kPriorities = 3;
 
+/// Lower limits of servers count as this rate per second, so that some answer
+/// shows when they end.
+constexpr double kMinServerLimit = 0.05;
+
 /// A server's report of its own load, sent with an answer.
 struct LoadReport {
   std::uint16_t in_flight = 0;
