--- a/src/libs/base/log_event.cc
+++ b/src/libs/base/log_event.cc
@@ -56,6 +56,8 @@
       return "server_limit_changed";
     case LogEvent::kServerLimitInvalid:
       return "server_limit_invalid";
+    case LogEvent::kPermitDenied:
+      return "permit_denied";
     case LogEvent::kServerEjected:
       return "server_ejected";
     case LogEvent::kServerRestored:
--- a/src/libs/base/log_event.h
+++ b/src/libs/base/log_event.h
@@ -30,6 +30,7 @@
   kSubsetChanged = 1105,
   kServerLimitChanged = 1106,
   kServerLimitInvalid = 1107,
+  kPermitDenied = 1108,
 
   kServerEjected = 1201,
   kServerRestored = 1202,
--- a/src/libs/base/result_code.cc
+++ b/src/libs/base/result_code.cc
@@ -52,6 +52,8 @@
       return "the ticket's era has not been issued";
     case ResultCode::kOverloaded:
       return "the service has no room for the request within its deadline";
+    case ResultCode::kServersLimited:
+      return "the backend servers named limits that leave no room now";
     case ResultCode::kOrganisationLimit:
       return "the organisation is over its limit";
     case ResultCode::kDeadlineBeforeDispatch:
--- a/src/libs/base/result_code.h
+++ b/src/libs/base/result_code.h
@@ -32,6 +32,7 @@
   kCancelledBeforeDispatch = 2015,
   kRequestTooLarge = 2016,
   kServerUnreachable = 2018,
+  kServersLimited = 2019,
 
   kDeadlineAfterDispatch = 3001,
   kServerConnectionLost = 3002,
--- a/src/libs/gateway/directory.cc
+++ b/src/libs/gateway/directory.cc
@@ -42,6 +42,8 @@
                                 const DirectorySettings& settings) {
   const auto advertised = AdvertisedMembers(members, settings);
   DirectoryState state;
+  state.self = name;
+  for (const Member& it : members) state.members.push_back(it.name);
   state.advertised_instances = advertised.size();
   const auto self = std::ranges::find(advertised, name, &Member::name);
   state.is_advertised = self != advertised.end();
--- a/src/libs/gateway/directory.h
+++ b/src/libs/gateway/directory.h
@@ -59,6 +59,10 @@
   /// are rare. 0 if it is not advertised.
   std::size_t zone_instances = 0;
   std::size_t zone_place = 0;
+  /// This instance, and all instances, advertised or not. From these the
+  /// keepers of servers with limits are chosen.
+  std::string self;
+  std::vector<std::string> members;
 
   bool operator==(const DirectoryState&) const = default;
 };
--- a/src/libs/gateway/forwarder.cc
+++ b/src/libs/gateway/forwarder.cc
@@ -169,9 +169,34 @@
   }
 }
 
+void PermitRequested(Forwarder& forwarder, const Endpoint& peer,
+                     const PermitRequest& request, TimePoint now) {
+  Context context{forwarder, now};
+  Internal::HandlePermitRequest(context, peer, request);
+}
+
+void PermitReplied(Forwarder& forwarder, const PermitReply& reply,
+                   TimePoint now) {
+  Context context{forwarder, now};
+  Internal::HandlePermitReply(context, reply);
+  PumpQueues(context);
+}
+
+void MergeLimits(Forwarder& forwarder, std::span<const LimitNews> news,
+                 TimePoint now) {
+  Context context{forwarder, now};
+  Internal::MergeNews(context, news);
+  PumpQueues(context);
+}
+
+std::vector<LimitNews> KnownLimits(const Forwarder& forwarder, TimePoint now) {
+  return Internal::CollectNews(forwarder, now);
+}
+
 void Tick(Forwarder& forwarder, TimePoint now) {
   Context context{forwarder, now};
   CheckCalls(context);
+  Internal::CheckPermits(context);
   EvaluateAll(context);
   PumpQueues(context);
 }
--- a/src/libs/gateway/forwarder.h
+++ b/src/libs/gateway/forwarder.h
@@ -61,6 +61,9 @@
   /// Further attempts, by how the previous attempt ended; counted even if none
   /// can be made. "slow" for hedges, which are counted when they are sent.
   std::map<std::string, std::uint64_t> second_attempts;
+  /// Permits asked for, by result: "granted", "limit", "no_reply",
+  /// "not_keeper", "late_reply".
+  std::map<std::string, std::uint64_t> permits;
   std::uint64_t arrived = 0;
   /// Requests whose caller left before the answer. At-most-once requests run on
   /// and may then also be counted in `answers`.
@@ -104,6 +107,16 @@
 /// Applies evidence about servers that another instance has sent.
 void MergeEvidence(Forwarder& forwarder, InstanceId peer,
                    std::span<const detection::Digest> digests, TimePoint now);
+/// Another instance asks for a permit to send a request to a server with a
+/// limit.
+void PermitRequested(Forwarder& forwarder, const Endpoint& peer,
+                     const PermitRequest& request, TimePoint now);
+/// An instance has replied to this instance's request for a permit.
+void PermitReplied(Forwarder& forwarder, const PermitReply& reply,
+                   TimePoint now);
+/// Applies another instance's news about the limits of servers.
+void MergeLimits(Forwarder& forwarder, std::span<const LimitNews> news,
+                 TimePoint now);
 /// Handles deadlines, queues, hedges and evaluation of servers. Call about
 /// every 20 ms.
 void Tick(Forwarder& forwarder, TimePoint now);
@@ -118,6 +131,8 @@
 ConfigurationPtr CurrentConfiguration(const Forwarder& forwarder);
 /// Returns the number of requests that are not finished.
 std::size_t OpenCalls(const Forwarder& forwarder);
+/// Returns what this instance knows of the limits of servers.
+std::vector<LimitNews> KnownLimits(const Forwarder& forwarder, TimePoint now);
 const ForwarderCounters& CountersOf(const Forwarder& forwarder);
 /// Returns the numbers of servers by the name of their service.
 std::map<std::string, routing::ServerCounts> CountServers(
--- a/src/libs/gateway/forwarder_state.h
+++ b/src/libs/gateway/forwarder_state.h
@@ -24,6 +24,9 @@
   /// grows; far enough in the past for servers that are warm.
   TimePoint warm_since;
   LimitKnowledge limit;
+  /// Permits that this instance gives as the server's first or fallback keeper.
+  PermitBucket permits;
+  PermitBucket fallback_permits;
   /// Text of the last limit that could not be read.
   std::string unreadable_limit;
 };
@@ -76,6 +79,24 @@
   std::optional<CallerAnswer> server_failure;
   /// When a server for a hedge was last looked for.
   TimePoint hedge_tried_at;
+  /// Number of the permit that it waits for; 0: it waits for none.
+  std::uint64_t permit = 0;
+  /// Permits that it did not get.
+  std::uint32_t denials = 0;
+  /// How its latest attempt was placed.
+  bool is_retry = false;
+  bool after_shed = false;
+};
+
+/// A call that is to be sent to a server with a limit and waits for a permit.
+struct PermitWait {
+  CallId call;
+  ServiceId service;
+  routing::Dispatch dispatch;
+  declarations::Priority priority = declarations::Priority::kNormal;
+  /// Instance that was asked.
+  std::string keeper;
+  TimePoint asked_at;
 };
 
 }  // namespace Internal
@@ -94,6 +115,11 @@
   std::unordered_map<CallId, Internal::Call> calls;
   std::unordered_map<AttemptId, Internal::Attempt> attempts;
   std::uint64_t last_attempt = 0;
+  std::unordered_map<std::uint64_t, Internal::PermitWait> permit_waits;
+  std::uint64_t last_permit = 0;
+  /// Instances that did not reply as keepers, and until when they are not
+  /// asked.
+  std::map<std::string, TimePoint> silent_keepers;
   TimePoint evaluated_at;
   std::vector<Action> actions;
   ForwarderCounters counters;
@@ -146,7 +172,13 @@
 /// previous attempt was declined or its connect failed.
 void PlaceAttempt(Context& context, CallId id, bool is_retry,
                   bool not_executed);
-/// Sends, refuses or queues a call as the router decided.
+/// Places a call again that got no permit.
+void PlaceAgain(Context& context, CallId id);
+/// Sends a call to a server.
+void Send(Context& context, CallId id, const routing::Dispatch& dispatch);
+declarations::Priority PriorityOf(std::uint32_t priority);
+/// Sends, refuses or queues a call as the router decided, or lets it wait for a
+/// permit.
 void ActOnPlacement(Context& context, CallId id,
                     const routing::Placement& placement);
 /// Starts a second attempt for an idempotent call that has been running for too
@@ -181,6 +213,18 @@
 void RecordLimit(Context& context, ServiceState& service,
                  BackendServerId server, const ServerAnswer& answer,
                  detection::AttemptEnd end);
+/// Asks for a permit to send a call as dispatched.
+void AwaitPermit(Context& context, CallId id,
+                 const routing::Dispatch& dispatch);
+/// Ends the wait of a call for a permit, if it waits for one.
+void ReleasePermit(Context& context, CallId id);
+/// Handles keepers that do not reply.
+void CheckPermits(Context& context);
+void HandlePermitRequest(Context& context, const Endpoint& peer,
+                         const PermitRequest& request);
+void HandlePermitReply(Context& context, const PermitReply& reply);
+void MergeNews(Context& context, std::span<const LimitNews> news);
+std::vector<LimitNews> CollectNews(const Forwarder& forwarder, TimePoint now);
 
 void Log(Context& context, LogEvent event, std::vector<LogField> fields);
 std::string FormatMillis(Duration duration);
--- a/src/libs/gateway/messages.h
+++ b/src/libs/gateway/messages.h
@@ -12,6 +12,7 @@
 #include "libs/base/strong_types.h"
 #include "libs/base/time.h"
 #include "libs/detection/detector.h"
+#include "libs/gateway/server_limits.h"
 #include "libs/net/http_types.h"
 #include "libs/routing/router.h"
 
@@ -121,8 +122,24 @@
   std::vector<detection::Digest> digests;
 };
 
-using Action = std::variant<SendAttempt, CancelAttempt, AnswerCaller, SendProbe,
-                            ShareEvidence, LogLine>;
+/// Asks another instance, the keeper of a server, for a permit.
+struct AskPermit {
+  std::string keeper;
+  PermitRequest request;
+};
+/// Answers another instance's request for a permit.
+struct AnswerPermit {
+  Endpoint peer;
+  PermitReply reply;
+};
+/// Sends the news to all other instances immediately.
+struct ShareLimits {
+  std::vector<LimitNews> news;
+};
+
+using Action =
+    std::variant<SendAttempt, CancelAttempt, AnswerCaller, SendProbe,
+                 ShareEvidence, AskPermit, AnswerPermit, ShareLimits, LogLine>;
 
 }  // namespace ibisladder::gateway
 
--- a/src/libs/gateway/requests.cc
+++ b/src/libs/gateway/requests.cc
@@ -19,6 +19,9 @@
 /// A request with more failed connects than this is given up. They don't count
 /// against the route's attempts.
 constexpr std::uint32_t kMaxConnectFailures = 3;
+/// A request that got no permit of so many servers with limits is sent to one
+/// without a limit, or refused.
+constexpr std::uint32_t kMaxDenials = 4;
 /// A hedge is sent after the target latency divided by this.
 constexpr int kHedgeDivisor = 2;
 /// Minimum time between searches for a hedge's server; free capacity changes
@@ -34,12 +37,6 @@
 /// are counted under the route "other".
 constexpr std::size_t kMaxTrafficKeys = 200;
 
-declarations::Priority PriorityOf(std::uint32_t priority) {
-  if (priority == 0) return declarations::Priority::kHigh;
-  return priority == 1 ? declarations::Priority::kNormal
-                       : declarations::Priority::kLow;
-}
-
 int StatusOf(ResultCode code) {
   switch (code) {
     case ResultCode::kNoRoute:
@@ -68,33 +65,6 @@
   return request;
 }
 
-void Send(Context& context, CallId id, const routing::Dispatch& dispatch) {
-  Forwarder& forwarder = context.forwarder;
-  Call& call = forwarder.calls.at(id);
-  ServiceState& service = forwarder.services.at(call.service);
-  const auto it = service.servers.find(dispatch.server);
-  const AttemptId attempt(++forwarder.last_attempt);
-  call.is_queued = false;
-  call.tried.push_back(dispatch.server);
-  call.in_flight.push_back(attempt);
-  ++call.attempts;
-  forwarder.attempts[attempt] = {id, call.service, dispatch.server,
-                                 context.now};
-  detection::AttemptStarted(*service.detector, dispatch.server, attempt,
-                            context.now);
-  const ServerEntry& entry = it->second.entry;
-  Log(context, LogEvent::kCallDispatched,
-      {{"request", call.request->request_id},
-       {"server", entry.name},
-       {"attempt", std::to_string(call.attempts)},
-       {"reason", dispatch.reason},
-       {"waited_ms", FormatMillis(context.now - call.arrived_at)},
-       {"left_ms", FormatMillis(call.deadline - context.now)}});
-  forwarder.actions.emplace_back(
-      SendAttempt{attempt, dispatch.server, entry.endpoint, entry.name,
-                  call.request, call.deadline - context.now});
-}
-
 bool IsRefusal(const CallerAnswer& answer) {
   return answer.code != ResultCode::kDone &&
          answer.status == kStatusUnavailable;
@@ -161,6 +131,39 @@
 
 }  // namespace
 
+declarations::Priority PriorityOf(std::uint32_t priority) {
+  if (priority == 0) return declarations::Priority::kHigh;
+  return priority == 1 ? declarations::Priority::kNormal
+                       : declarations::Priority::kLow;
+}
+
+void Send(Context& context, CallId id, const routing::Dispatch& dispatch) {
+  Forwarder& forwarder = context.forwarder;
+  Call& call = forwarder.calls.at(id);
+  ServiceState& service = forwarder.services.at(call.service);
+  const auto it = service.servers.find(dispatch.server);
+  const AttemptId attempt(++forwarder.last_attempt);
+  call.is_queued = false;
+  call.tried.push_back(dispatch.server);
+  call.in_flight.push_back(attempt);
+  ++call.attempts;
+  forwarder.attempts[attempt] = {id, call.service, dispatch.server,
+                                 context.now};
+  detection::AttemptStarted(*service.detector, dispatch.server, attempt,
+                            context.now);
+  const ServerEntry& entry = it->second.entry;
+  Log(context, LogEvent::kCallDispatched,
+      {{"request", call.request->request_id},
+       {"server", entry.name},
+       {"attempt", std::to_string(call.attempts)},
+       {"reason", dispatch.reason},
+       {"waited_ms", FormatMillis(context.now - call.arrived_at)},
+       {"left_ms", FormatMillis(call.deadline - context.now)}});
+  forwarder.actions.emplace_back(
+      SendAttempt{attempt, dispatch.server, entry.endpoint, entry.name,
+                  call.request, call.deadline - context.now});
+}
+
 void Accept(Context& context, CallerRequest request) {
   Forwarder& forwarder = context.forwarder;
   ++forwarder.counters.arrived;
@@ -212,17 +215,39 @@
     GiveUp(context, id, {code, kDefaultRetryAfter});
     return;
   }
+  call.is_retry = is_retry;
+  call.after_shed = not_executed;
   const auto request = MakeRoutingRequest(call, id, is_retry, not_executed);
   ActOnPlacement(context, id,
                  routing::Place(*service->second.router, request, context.now,
                                 forwarder.random));
 }
 
+void PlaceAgain(Context& context, CallId id) {
+  Forwarder& forwarder = context.forwarder;
+  Call& call = forwarder.calls.at(id);
+  if (call.deadline - context.now <= kMinAttemptTime) {
+    GiveUp(context, id, {ResultCode::kServersLimited, kDefaultRetryAfter});
+    return;
+  }
+  routing::RoutingRequest request =
+      MakeRoutingRequest(call, id, call.is_retry, call.after_shed);
+  request.is_replacement = true;
+  request.avoids_limits = call.denials >= kMaxDenials;
+  ActOnPlacement(context, id,
+                 routing::Place(*forwarder.services.at(call.service).router,
+                                request, context.now, forwarder.random));
+}
+
 void ActOnPlacement(Context& context, CallId id,
                     const routing::Placement& placement) {
   Call& call = context.forwarder.calls.at(id);
   if (const auto* dispatch = std::get_if<routing::Dispatch>(&placement)) {
-    Send(context, id, *dispatch);
+    if (dispatch->needs_permit) {
+      AwaitPermit(context, id, *dispatch);
+    } else {
+      Send(context, id, *dispatch);
+    }
   } else if (const auto* refused = std::get_if<routing::Refused>(&placement)) {
     call.is_queued = false;
     GiveUp(context, id, *refused);
@@ -251,6 +276,7 @@
   call.hedge_tried_at = context.now;
   routing::RoutingRequest request = MakeRoutingRequest(call, id, true, false);
   request.is_hedge = true;
+  request.avoids_limits = true;
   const auto placement =
       routing::Place(*service.router, request, context.now, forwarder.random);
   if (const auto* dispatch = std::get_if<routing::Dispatch>(&placement)) {
@@ -274,6 +300,7 @@
   if (call.is_queued) {
     routing::RemoveQueued(*forwarder.services.at(call.service).router, id);
   }
+  ReleasePermit(context, id);
   call.caller_left = true;
   if (call.route.repeat == RepeatRule::kIdempotent) {
     for (const AttemptId attempt : std::vector<AttemptId>(call.in_flight)) {
@@ -294,6 +321,7 @@
   if (call.is_queued) {
     routing::RemoveQueued(*forwarder.services.at(call.service).router, id);
   }
+  ReleasePermit(context, id);
   for (const AttemptId attempt : std::vector<AttemptId>(call.in_flight)) {
     forwarder.actions.emplace_back(CancelAttempt{attempt});
     call.may_have_run = true;
--- a/src/libs/gateway/server_limits.h
+++ b/src/libs/gateway/server_limits.h
@@ -1,12 +1,20 @@
 #ifndef LIBS_GATEWAY_SERVER_LIMITS_H_
 #define LIBS_GATEWAY_SERVER_LIMITS_H_
 
+#include <algorithm>
+#include <array>
+#include <cstdint>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "libs/base/strong_types.h"
 #include "libs/base/time.h"
+#include "libs/routing/router.h"
 
 /// Limits that backend servers name for the requests of all instances together.
+/// One instance, the keeper, admits the requests to a server with a limit; the
+/// others ask it for a permit for each request.
 namespace ibisladder::gateway {
 
 /// What an instance knows of a server's limit. Newer knowledge replaces older.
@@ -17,6 +25,105 @@
   std::optional<TimePoint> heard_at;
 };
 
+/// Knowledge of one server's limit, as sent to other instances.
+struct LimitNews {
+  BackendServerId server;
+  bool is_limited = false;
+  RequestsPerSecond limit;
+  /// Time since the server stated it, instead of a time, as clocks differ.
+  Duration age{};
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    std::int64_t age_us = age.count();
+    archive(server, is_limited, limit, age_us);
+    age = Duration(age_us);
+  }
+};
+
+LimitNews MakeLimitNews(BackendServerId server, const LimitKnowledge& known,
+                        TimePoint now);
+/// Returns the sender's knowledge, or none if the news cannot be true.
+std::optional<LimitKnowledge> KnowledgeOf(const LimitNews& news, TimePoint now);
+/// Returns whether `other` is newer than `known`.
+bool IsNewer(const LimitKnowledge& other, const LimitKnowledge& known);
+
+/// Asks a keeper for a permit to send one request to one server.
+struct PermitRequest {
+  /// Unique at the asking instance.
+  std::uint64_t number = 0;
+  /// The asking instance's knowledge of the limit.
+  LimitNews news;
+  declarations::Priority priority = declarations::Priority::kNormal;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    auto class_number = static_cast<std::uint8_t>(priority);
+    archive(number, news, class_number);
+    const std::uint8_t max = routing::kPriorities - 1;
+    priority = static_cast<declarations::Priority>(std::min(class_number, max));
+  }
+};
+
+/// A keeper's answer.
+struct PermitReply {
+  std::uint64_t number = 0;
+  bool is_granted = false;
+  /// The keeper does not know the server or is not one of its keepers.
+  bool is_unknown = false;
+  /// The keeper's knowledge of the limit, if it is newer than the asker's.
+  LimitNews news;
+  bool has_news = false;
+  /// Times until a permit is available for requests of each priority.
+  std::array<Duration, routing::kPriorities> waits{};
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(number, is_granted, is_unknown, news, has_news);
+    for (Duration& it : waits) {
+      std::int64_t wait_us = it.count();
+      archive(wait_us);
+      it = Duration(wait_us);
+    }
+  }
+};
+
+/// Permits that a keeper has to give for one server.
+struct PermitBucket {
+  double tokens = 0;
+  std::optional<TimePoint> filled_at;
+  /// Requests of each priority that were denied since the last permit. They are
+  /// told to come one after the other.
+  std::array<std::uint32_t, routing::kPriorities> denied{};
+};
+
+/// The part of a server's limit that an instance admits.
+enum class KeeperRank : std::uint8_t {
+  kFirst,     ///< Admits the whole limit.
+  kFallback,  ///< Admits a part of it, for instances that the first one does
+              ///< not answer.
+  kNone,
+};
+
+/// Takes a permit, or returns the times until there is one for requests of each
+/// priority. New buckets start empty, as another keeper may have given permits
+/// just before.
+std::optional<std::array<Duration, routing::kPriorities>> TakePermit(
+    PermitBucket& bucket, RequestsPerSecond limit, KeeperRank rank,
+    declarations::Priority priority, TimePoint now);
+
+/// The instances that may admit requests to one server, first and fallback.
+struct Keepers {
+  std::string first;
+  std::string fallback;
+};
+/// Returns the server's keepers, chosen by hashing, so that instances with the
+/// same members choose the same ones, and a change of one member moves few
+/// servers. Empty names if there are too few members.
+Keepers KeepersOf(BackendServerId server,
+                  const std::vector<std::string>& members);
+KeeperRank RankOf(const Keepers& keepers, const std::string& member);
+
 }  // namespace ibisladder::gateway
 
 #endif  // LIBS_GATEWAY_SERVER_LIMITS_H_
--- a/src/libs/routing/choice.cc
+++ b/src/libs/routing/choice.cc
@@ -102,6 +102,7 @@
 
 bool MayTake(const ChoiceContext& context, const ServerLoad& server) {
   if (!context.allow_tried && IsTried(context.request, server.id)) return false;
+  if (IsHeldByLimit(server, context.request, context.now)) return false;
   return HasCapacity(server, context.router.warm_up, context.now);
 }
 
@@ -261,8 +262,10 @@
 Dispatch MakeDispatch(const Router& router, const Pick& pick,
                       const char* reason) {
   const int percent = static_cast<int>(pick.load * 100);
-  return {router.servers[pick.index].id,
-          std::string(reason) + ", load " + std::to_string(percent) + "%"};
+  const ServerLoad& server = router.servers[pick.index];
+  return {server.id,
+          std::string(reason) + ", load " + std::to_string(percent) + "%",
+          server.limit_per_second > 0};
 }
 
 }  // namespace
@@ -312,13 +315,15 @@
   const ChoiceContext context{router, request, now, AllTried(router, request),
                               OpenConnectionBonus(router)};
   if (const auto trial = PickTrial(context, random)) {
-    return Dispatch{router.servers[*trial].id, "trial request"};
+    const ServerLoad& server = router.servers[*trial];
+    return Dispatch{server.id, "trial request", server.limit_per_second > 0};
   }
   const bool prefer_own =
       router.choice.own_zone_max_load > 0 && OwnZoneAnswers(router);
   if (prefer_own) {
     if (const auto it = PickFromShare(router, request, now, random)) {
-      return Dispatch{router.servers[*it].id, "own share"};
+      const ServerLoad& server = router.servers[*it];
+      return Dispatch{server.id, "own share", server.limit_per_second > 0};
     }
   }
   ChoiceContext near_context = context;
--- a/src/libs/routing/router.cc
+++ b/src/libs/routing/router.cc
@@ -34,6 +34,11 @@
 /// success.
 constexpr std::size_t kMaxBlockedTries = 4;
 constexpr Duration kMinRetryAfter = Millis(500);
+/// Added to the time until a server with a limit may take a request.
+constexpr Duration kMinLimitedWait = Millis(50);
+constexpr Duration kMaxRetryAfter = Seconds(10);
+/// Lower limits count as this.
+constexpr double kMinLimit = 0.05;
 constexpr Duration kNoServerRetryAfter = Seconds(1);
 
 /// Returns a random time in [base, 2 * base), so that callers do not return
@@ -63,6 +68,45 @@
           JitterRetryAfter(kNoServerRetryAfter, random)};
 }
 
+/// Returns a server whose limit keeps the request from being sent, if limits
+/// are all that does: the one to which the next caller should return first.
+ServerLoad* FindLimitingServer(Router& router, const RoutingRequest& request,
+                               TimePoint now) {
+  const auto& list = !router.healthy.empty() ? router.healthy
+                     : !router.last_resort.empty()
+                         ? router.last_resort
+                         : router.fails_fast_last_resort;
+  ServerLoad* result = nullptr;
+  for (const std::uint32_t it : list) {
+    ServerLoad& server = router.servers[it];
+    if (!IsHeldByLimit(server, request, now)) return nullptr;
+    if (result == nullptr || server.next_return < result->next_return) {
+      result = &server;
+    }
+  }
+  return result;
+}
+
+/// Refuses a request because of the servers' limits. Callers are told to return
+/// one after the other, at the rate at which the server takes requests; the
+/// other instances that use it do the same.
+Refused RefuseLimited(const Router& router, const RoutingRequest& request,
+                      ServerLoad& server, TimePoint now, Random& random) {
+  constexpr double kMicrosPerSecond = 1e6;
+  const auto priority = static_cast<std::size_t>(request.priority);
+  const TimePoint latest = now + kMaxRetryAfter;
+  const TimePoint earliest = std::clamp(
+      std::max(server.next_permits[priority], server.next_return), now, latest);
+  const double turn = kMicrosPerSecond *
+                      static_cast<double>(router.users_per_server) /
+                      server.limit_per_second;
+  server.next_return =
+      earliest +
+      std::min(Micros(static_cast<std::int64_t>(turn)), kMaxRetryAfter);
+  return {ResultCode::kServersLimited,
+          earliest - now + JitterRetryAfter(kMinLimitedWait, random)};
+}
+
 /// Returns the time that a queued call must have left: about one answer, unless
 /// its caller gave it less from the start.
 Duration MinTimeLeft(const Router& router, const Waiting& waiting) {
@@ -101,6 +145,15 @@
       const Waiting& waiting = router.queue.classes[class_index][index];
       const bool open = HasOpenServer(router, waiting.request);
       const Duration left = waiting.request.deadline - now;
+      const RoutingRequest request = waiting.request;
+      if (auto* limiting =
+              open ? FindLimitingServer(router, request, now) : nullptr) {
+        Take(router.queue, class_index, index, false);
+        router.decided.push_back(
+            {request.call,
+             RefuseLimited(router, request, *limiting, now, random)});
+        continue;
+      }
       if (open && left > MinTimeLeft(router, waiting)) {
         ++index;
         continue;
@@ -170,6 +223,9 @@
   if (router.queue.size == 0) {
     auto dispatch = TryDispatch(router, request, now, random);
     if (dispatch) return std::move(*dispatch);
+    if (auto* limiting = FindLimitingServer(router, request, now)) {
+      return RefuseLimited(router, request, *limiting, now, random);
+    }
     return Enqueue(router, request, now, random);
   }
   // Other calls wait: the weighted queue decides which goes first.
@@ -291,6 +347,9 @@
       has_own_budget ? router.shed_retries : router.retries;
   const bool may_retry = request.is_hedge ? Internal::MayHedge(budget)
                                           : Internal::MayRetry(budget);
+  if (request.is_replacement) {
+    return Internal::PlaceOrQueue(router, request, now, random);
+  }
   if (request.is_retry && !may_retry) {
     return Internal::RefuseOverload(router, random);
   }
@@ -355,6 +414,33 @@
   }
 }
 
+void SetLimited(Router& router, BackendServerId server,
+                std::optional<RequestsPerSecond> limit) {
+  const auto it = router.index.find(server);
+  if (it == router.index.end()) return;
+  Internal::ServerLoad& load = router.servers[it->second];
+  load.limit_per_second =
+      limit ? std::max(limit->value(), Internal::kMinLimit) : 0;
+  // The waits were those of another limit.
+  load.next_permits = {};
+  load.next_return = {};
+}
+
+void PermitDenied(Router& router, BackendServerId server,
+                  const std::array<TimePoint, kPriorities>& next_permits) {
+  const auto it = router.index.find(server);
+  if (it == router.index.end()) return;
+  Internal::ServerLoad& load = router.servers[it->second];
+  load.next_permits = next_permits;
+  Internal::EndInFlight(router, load);
+}
+
+void CancelDispatch(Router& router, BackendServerId server) {
+  const auto it = router.index.find(server);
+  if (it == router.index.end()) return;
+  Internal::EndInFlight(router, router.servers[it->second]);
+}
+
 std::vector<Placed> Pump(Router& router, TimePoint now, Random& random) {
   if (router.queue.size > 0) Internal::ServeQueue(router, now, random);
   return std::exchange(router.decided, {});
@@ -363,6 +449,7 @@
 ServerCounts CountServers(const Router& router, TimePoint now) {
   ServerCounts counts;
   for (const Internal::ServerLoad& it : router.servers) {
+    if (it.limit_per_second > 0) ++counts.limited;
     if (it.closed || it.draining) {
       ++counts.closed;
     } else if (detection::IsOnTrial(it.state)) {
--- a/src/libs/routing/router.h
+++ b/src/libs/routing/router.h
@@ -1,6 +1,7 @@
 #ifndef LIBS_ROUTING_ROUTER_H_
 #define LIBS_ROUTING_ROUTER_H_
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -20,6 +21,9 @@
 /// one service on one instance.
 namespace ibisladder::routing {
 
+/// Number of values of declarations::Priority.
+constexpr std::size_t kPriorities = 3;
+
 /// A server's report of its own load, sent with an answer.
 struct LoadReport {
   std::uint16_t in_flight = 0;
@@ -65,6 +69,12 @@
   /// more than half of the budget: the rest is reserved for calls without
   /// another attempt.
   bool is_hedge = false;
+  /// Not to be sent to servers with limits: a hedge, or refused several
+  /// permits.
+  bool avoids_limits = false;
+  /// Was placed before, but got no permit to be sent; see SetLimited. Does not
+  /// count as a further request, and neither needs nor spends retry budget.
+  bool is_replacement = false;
   /// Servers already tried for this call. Avoided until all healthy ones have
   /// been tried or, if none is healthy, all last resorts that do not fail fast.
   std::vector<BackendServerId> tried;
@@ -74,13 +84,17 @@
 struct Dispatch {
   BackendServerId server;
   std::string reason;
+  /// The server limits the requests of all instances together: send only with a
+  /// permit, and call PermitDenied without one.
+  bool needs_permit = false;
 };
 /// Wait in the queue; a later Pump returns the decision.
 struct Queued {};
 /// Refuse now, with the wait to suggest to the caller; zero if the deadline has
 /// passed. kOverloaded: the retry budget is spent, the queue is full, the call
-/// was displaced, or its deadline is too near. kNoServerAvailable: no server
-/// can take the request now or later.
+/// was displaced, or its deadline is too near. kServersLimited: all servers
+/// that could take it have limits that leave no room. kNoServerAvailable: no
+/// server can take the request now or later.
 struct Refused {
   ResultCode code;
   Duration retry_after;
@@ -185,6 +199,17 @@
 /// Unknown servers are ignored.
 void ReportLoad(Router& router, BackendServerId server,
                 const LoadReport& report, TimePoint now);
+/// Sets whether the server limits the requests of all instances together, and
+/// at which rate.
+void SetLimited(Router& router, BackendServerId server,
+                std::optional<RequestsPerSecond> limit);
+/// Undoes a Dispatch that was not sent. Requests of each priority are not
+/// placed on the server before the given time.
+void PermitDenied(Router& router, BackendServerId server,
+                  const std::array<TimePoint, kPriorities>& next_permits);
+/// Undoes a Dispatch that was not sent, since its call has ended or the server
+/// has left.
+void CancelDispatch(Router& router, BackendServerId server);
 /// Returns the queued calls that can be placed or must be refused now. To be
 /// called after each command that may free capacity or displace a call, and at
 /// least every 10 ms.
@@ -193,7 +218,7 @@
 // Queries.
 
 /// Numbers of servers by what the router may send them. Each server is counted
-/// once.
+/// once, apart from `limited`.
 struct ServerCounts {
   std::size_t healthy = 0;
   /// Healthy, but at the limit of requests in flight, or paused after a
@@ -204,6 +229,8 @@
   std::size_t ejected = 0;
   /// Leaving, or replaced at its address.
   std::size_t closed = 0;
+  /// With a limit for all instances together; counted above, too.
+  std::size_t limited = 0;
 };
 ServerCounts CountServers(const Router& router, TimePoint now);
 
--- a/src/libs/routing/server_load.cc
+++ b/src/libs/routing/server_load.cc
@@ -117,6 +117,13 @@
   return server.in_flight < InFlightLimit(server, warm_up, now);
 }
 
+bool IsHeldByLimit(const ServerLoad& server, const RoutingRequest& request,
+                   TimePoint now) {
+  if (server.limit_per_second <= 0) return false;
+  const auto priority = static_cast<std::size_t>(request.priority);
+  return request.avoids_limits || now < server.next_permits[priority];
+}
+
 double EstimateLoad(const ServerLoad& server, double mean_other_load,
                     Duration report_half_life, TimePoint now) {
   const Duration age = now - server.reported_at;
--- a/src/libs/routing/server_load.h
+++ b/src/libs/routing/server_load.h
@@ -1,6 +1,7 @@
 #ifndef LIBS_ROUTING_SERVER_LOAD_H_
 #define LIBS_ROUTING_SERVER_LOAD_H_
 
+#include <array>
 #include <cstdint>
 
 #include "libs/base/strong_types.h"
@@ -44,6 +45,12 @@
   TimePoint last_sent_at;
   /// When its last good answer arrived.
   TimePoint answered_at;
+  /// Requests that it takes from all instances together; 0: no limit.
+  double limit_per_second = 0;
+  /// When a permit may be available to requests of each priority.
+  std::array<TimePoint, kPriorities> next_permits{};
+  /// When the next refused caller should return.
+  TimePoint next_return;
 };
 
 /// Applies the declared and listed properties; the load state stays.
@@ -65,6 +72,10 @@
 /// Whether one more request may be sent now.
 bool HasCapacity(const ServerLoad& server, Duration warm_up, TimePoint now);
 
+/// Whether a limit that the server named keeps the request from being sent now.
+bool IsHeldByLimit(const ServerLoad& server, const RoutingRequest& request,
+                   TimePoint now);
+
 /// Returns own requests plus those of other instances. The latter come from the
 /// last report, which loses weight with its age in favour of `mean_other_load`,
 /// the mean of the service. A report as old as `report_half_life` has half the
--- a/src/libs/routing/share.cc
+++ b/src/libs/routing/share.cc
@@ -121,6 +121,7 @@
   if (std::ranges::find(request.tried, server.id) != request.tried.end()) {
     return false;
   }
+  if (IsHeldByLimit(server, request, now)) return false;
   if (!HasCapacity(server, router.warm_up, now)) return false;
   if (FailedLately(server, now)) return false;
   // As in other choices, warming servers take part with their fraction.
--- a/src/libs/routing/wait_queue.h
+++ b/src/libs/routing/wait_queue.h
@@ -13,8 +13,6 @@
 /// queueing: high priority gets most, low is never starved.
 namespace ibisladder::routing::Internal {
 
-constexpr std::size_t kPriorities = 3;
-
 struct Waiting {
   RoutingRequest request;
   TimePoint since;
--- a/src/plugins/fleet/fleet_task.h
+++ b/src/plugins/fleet/fleet_task.h
@@ -14,6 +14,7 @@
 #include "libs/detection/detector.h"
 #include "libs/gateway/configuration.h"
 #include "libs/gateway/list_updates.h"
+#include "libs/gateway/messages.h"
 #include "libs/net/event_loop.h"
 #include "libs/net/udp_socket.h"
 #include "libs/storesync/registration.h"
@@ -54,6 +55,12 @@
 
   /// Sends the digests to all other instances.
   void ShareEvidence(const std::vector<detection::Digest>& digests);
+  /// Sends the news to all other instances.
+  void ShareLimits(const std::vector<gateway::LimitNews>& news);
+  void SendLimits(const Endpoint& peer,
+                  const std::vector<gateway::LimitNews>& news);
+  void AskPermit(const gateway::AskPermit& question);
+  void AnswerPermit(const gateway::AnswerPermit& answer);
   /// Ends this instance's registration, which removes it from the other
   /// instances' lists.
   void Leave();
@@ -84,6 +91,20 @@
   signal_evidence() {
     return evidence_received_;
   }
+  sigc::signal<void(const Endpoint&, const gateway::PermitRequest&)>&
+  signal_permit_request() {
+    return permit_requested_;
+  }
+  sigc::signal<void(const gateway::PermitReply&)>& signal_permit_reply() {
+    return permit_replied_;
+  }
+  sigc::signal<void(const std::vector<gateway::LimitNews>&)>& signal_limits() {
+    return limits_received_;
+  }
+  /// Another instance asks for all known limits of servers.
+  sigc::signal<void(const Endpoint&)>& signal_limits_question() {
+    return limits_asked_;
+  }
   sigc::signal<void(const LogLine&)>& signal_log() { return log_; }
 
  private:
@@ -119,6 +140,8 @@
   void Publish();
   void HandleDatagram(const net::Datagram& datagram);
   void HandleUpdate(const gateway::ListUpdate& update);
+  void AskForLimitsIfDue(TimePoint now);
+  void SendToAll(const std::string& bytes);
   void SendTo(const gateway::Member& member, const std::string& bytes);
   void Log(LogEvent event, std::vector<LogField> fields);
 
@@ -150,12 +173,19 @@
   std::map<std::uint64_t, CallOwner> open_calls_;
   bool is_store_lost_ = false;
   std::uint32_t consecutive_failures_ = 0;
+  int limits_questions_ = 0;
+  TimePoint limits_asked_at_;
   net::Timer tick_timer_;
   sigc::signal<void(const gateway::ConfigurationPtr&)> configuration_changed_;
   sigc::signal<void(const std::vector<gateway::ServerEntry>&)> servers_changed_;
   sigc::signal<void(const gateway::DirectoryState&)> directory_state_changed_;
   sigc::signal<void(InstanceId, const std::vector<detection::Digest>&)>
       evidence_received_;
+  sigc::signal<void(const Endpoint&, const gateway::PermitRequest&)>
+      permit_requested_;
+  sigc::signal<void(const gateway::PermitReply&)> permit_replied_;
+  sigc::signal<void(const std::vector<gateway::LimitNews>&)> limits_received_;
+  sigc::signal<void(const Endpoint&)> limits_asked_;
   sigc::signal<void(const LogLine&)> log_;
 };
 
--- a/src/plugins/gateway/gateway_metrics.cc
+++ b/src/plugins/gateway/gateway_metrics.cc
@@ -33,6 +33,12 @@
   for (const auto& [reason, n] : counters.second_attempts) {
     AddSample(second_attempts, static_cast<double>(n), {{"reason", reason}});
   }
+  auto& permits = AddFamily(families, "gateway_permits_total",
+                            "Permits asked for servers with limits, by result",
+                            MetricType::Counter);
+  for (const auto& [result, n] : counters.permits) {
+    AddSample(permits, static_cast<double>(n), {{"result", result}});
+  }
 }
 
 void AddServers(metrics::Families& families, const Forwarder& forwarder) {
@@ -47,7 +53,8 @@
         {"last_resort", counts.last_resort},
         {"on_trial", counts.on_trial},
         {"ejected", counts.ejected},
-        {"closed", counts.closed}};
+        {"closed", counts.closed},
+        {"limited", counts.limited}};
     for (const auto& [state, n] : states) {
       AddSample(servers, static_cast<double>(n),
                 {{"service", service}, {"state", state}});
--- a/src/plugins/gateway/gateway_task.cc
+++ b/src/plugins/gateway/gateway_task.cc
@@ -102,6 +102,22 @@
   PerformActions();
 }
 
+void GatewayTask::PermitRequested(const Endpoint& peer,
+                                  const PermitRequest& request) {
+  gateway::PermitRequested(*forwarder_, peer, request, net::MonotonicNow());
+  PerformActions();
+}
+
+void GatewayTask::PermitReplied(const PermitReply& reply) {
+  gateway::PermitReplied(*forwarder_, reply, net::MonotonicNow());
+  PerformActions();
+}
+
+void GatewayTask::MergeLimits(std::span<const LimitNews> news) {
+  gateway::MergeLimits(*forwarder_, news, net::MonotonicNow());
+  PerformActions();
+}
+
 void GatewayTask::PrepareToStop() { callers_->CloseAfterAnswers(); }
 
 void GatewayTask::StopAccepting() {
@@ -165,6 +181,18 @@
   evidence_shared_.emit(action.digests);
 }
 
+void GatewayTask::Perform(const AskPermit& action) {
+  permit_requested_.emit(action);
+}
+
+void GatewayTask::Perform(const AnswerPermit& action) {
+  permit_replied_.emit(action);
+}
+
+void GatewayTask::Perform(const ShareLimits& action) {
+  limits_shared_.emit(action.news);
+}
+
 void GatewayTask::Perform(const LogLine& action) { log_.emit(action); }
 
 }  // namespace ibisladder::gateway
--- a/src/plugins/gateway/gateway_task.h
+++ b/src/plugins/gateway/gateway_task.h
@@ -50,6 +50,9 @@
   void SetDirectoryState(const DirectoryState& state);
   void MergeEvidence(InstanceId peer,
                      std::span<const detection::Digest> digests);
+  void PermitRequested(const Endpoint& peer, const PermitRequest& request);
+  void PermitReplied(const PermitReply& reply);
+  void MergeLimits(std::span<const LimitNews> news);
   /// Continues to serve requests, but closes each connection after its answer.
   void PrepareToStop();
   /// Refuses new requests and closes connections without open requests.
@@ -58,6 +61,16 @@
   sigc::signal<void(const std::vector<detection::Digest>&)>& signal_evidence() {
     return evidence_shared_;
   }
+  /// The server's keeper is to be asked for a permit.
+  sigc::signal<void(const AskPermit&)>& signal_permit_request() {
+    return permit_requested_;
+  }
+  sigc::signal<void(const AnswerPermit&)>& signal_permit_reply() {
+    return permit_replied_;
+  }
+  sigc::signal<void(const std::vector<LimitNews>&)>& signal_limits() {
+    return limits_shared_;
+  }
   sigc::signal<void(const LogLine&)>& signal_log() { return log_; }
 
   const Forwarder& forwarder() const { return *forwarder_; }
@@ -77,6 +90,9 @@
   void Perform(AnswerCaller& action);
   void Perform(const SendProbe& action);
   void Perform(const ShareEvidence& action);
+  void Perform(const AskPermit& action);
+  void Perform(const AnswerPermit& action);
+  void Perform(const ShareLimits& action);
   void Perform(const LogLine& action);
 
   struct Probe {
@@ -94,6 +110,9 @@
   std::uint64_t last_probe_id_ = 0;
   std::unordered_map<std::uint64_t, Probe> open_probes_;
   sigc::signal<void(const std::vector<detection::Digest>&)> evidence_shared_;
+  sigc::signal<void(const AskPermit&)> permit_requested_;
+  sigc::signal<void(const AnswerPermit&)> permit_replied_;
+  sigc::signal<void(const std::vector<LimitNews>&)> limits_shared_;
   sigc::signal<void(const LogLine&)> log_;
 };
 
--- a/tests/auto/gateway/fleet_simulation.h
+++ b/tests/auto/gateway/fleet_simulation.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "libs/base/random.h"
@@ -62,6 +63,11 @@
   /// Percentage of the requests that the route sends to another service, which
   /// has no servers and serves none.
   int unserved_percent = 0;
+  /// Percentage of the requests that are idempotent, unless all are
+  /// at-most-once.
+  int idempotent_percent = 0;
+  /// Percentage of the requests that have low priority.
+  int low_priority_percent = 0;
   std::uint64_t seed = 1;
 };
 
@@ -74,10 +80,16 @@
   TimePoint now;
   std::vector<ForwarderFixture> instances;
   std::vector<std::string> instance_zones;
+  std::vector<Member> members;
+  /// Instances whose messages to and from other instances are lost.
+  std::set<std::size_t> cut_off;
+  std::size_t permit_messages = 0;
   std::map<std::string, SimulatedServer> servers;
   /// Idle connections: when each was last used, by instance and server.
   std::map<std::pair<std::size_t, std::string>, std::vector<TimePoint>> idle;
   std::vector<SentRequest> sent;
+  /// Requests of low priority, by instance.
+  std::set<std::pair<std::size_t, CallId>> low_priority;
   std::size_t connections_opened = 0;
   std::size_t declined = 0;
   /// Requests that a server began to execute, and their time from the dispatch
@@ -98,6 +110,9 @@
 /// Adds a server that starts now and publishes the list.
 void StartServer(FleetSimulation& fleet, const std::string& name,
                  const std::string& zone);
+/// Replaces an instance by a new one that knows only the limits of servers that
+/// another instance tells it. Its requests are lost.
+void RestartInstance(FleetSimulation& fleet, std::size_t instance);
 /// Ends the server's requests and lists a new incarnation, that starts now.
 void RestartServer(FleetSimulation& fleet, const std::string& name);
 
@@ -109,8 +124,13 @@
 std::size_t MostSentWithin(const FleetSimulation& fleet,
                            const std::string& server, Duration window,
                            TimePoint from, TimePoint to);
+/// Number of requests that were sent to the server.
+std::size_t CountSent(const FleetSimulation& fleet, const std::string& server,
+                      TimePoint from, TimePoint to);
 /// Number of callers' requests that were answered with `status`.
 std::size_t CountAnswers(const FleetSimulation& fleet, int status);
+/// The same for requests of low, or of other priority.
+std::size_t CountAnswers(const FleetSimulation& fleet, int status, bool is_low);
 
 }  // namespace ibisladder::gateway
 
--- a/tests/auto/gateway/forwarder_fixture.cc
+++ b/tests/auto/gateway/forwarder_fixture.cc
@@ -27,6 +27,15 @@
     fixture.evidence.insert(fixture.evidence.end(), it.digests.begin(),
                             it.digests.end());
   }
+  void operator()(const AskPermit& it) const {
+    fixture.permit_requests.push_back(it);
+  }
+  void operator()(const AnswerPermit& it) const {
+    fixture.permit_replies.push_back(it);
+  }
+  void operator()(const ShareLimits& it) const {
+    fixture.limits.insert(fixture.limits.end(), it.news.begin(), it.news.end());
+  }
   void operator()(const LogLine& it) const { fixture.log.push_back(it); }
 };
 
--- a/tests/auto/gateway/forwarder_fixture.h
+++ b/tests/auto/gateway/forwarder_fixture.h
@@ -19,6 +19,9 @@
   std::vector<AttemptId> cancelled;
   std::map<CallId, CallerAnswer> answers;
   std::vector<detection::Digest> evidence;
+  std::vector<AskPermit> permit_requests;
+  std::vector<AnswerPermit> permit_replies;
+  std::vector<LimitNews> limits;
   std::vector<LogLine> log;
 };
 
