--- a/src/libs/gateway/services.cc
+++ b/src/libs/gateway/services.cc
@@ -295,7 +295,8 @@
 void SendDueProbes(Context& context, ServiceState& service) {
   for (const auto id : detection::ProbesDue(*service.detector, context.now)) {
     const auto it = service.servers.find(id);
-    if (it == service.servers.end()) continue;
+    // Probes would need permits, too; requests show its health.
+    if (it == service.servers.end() || it->second.limit.limit) continue;
     const ServerEntry& entry = it->second.entry;
     context.forwarder.actions.emplace_back(SendProbe{
         id, entry.endpoint, entry.name, service.settings.health_path});
--- a/src/tools/ibisladder/request_explanation.cc
+++ b/src/tools/ibisladder/request_explanation.cc
@@ -121,6 +121,11 @@
     case LogEvent::kCallQueued:
       return "waits for a slot, " + Printable(FieldOf(it, "left_ms")) +
              " ms left";
+    case LogEvent::kPermitDenied:
+      return "not sent to " + Printable(FieldOf(it, "server")) +
+             ", which limits the requests of all instances (" +
+             Printable(FieldOf(it, "reason")) + "); next permit in " +
+             Printable(FieldOf(it, "wait_ms")) + " ms at the earliest";
     case LogEvent::kCallRetried:
       return "attempt " + Printable(FieldOf(it, "attempts")) +
              " failed: " + Printable(FieldOf(it, "reason"));
--- a/tests/auto/gateway/server_limits_test.cc
+++ b/tests/auto/gateway/server_limits_test.cc
@@ -5,9 +5,12 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
+#include <cstdint>
 #include <cstdio>
 #include <cstdlib>
 #include <iostream>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -111,6 +114,8 @@
   CPPUNIT_TEST(EveryWayToAServerCounts);
   CPPUNIT_TEST(RequestsOfHigherPriorityComeFirst);
   CPPUNIT_TEST(RefusalsComeAtOnceWithTheTimeToReturn);
+  CPPUNIT_TEST(KeepersThatDoNotReplyAreReplaced);
+  CPPUNIT_TEST(MalformedMessagesDoNoHarm);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -348,6 +353,67 @@
     });
   }
 
+  /// Guards against calls that wait for a keeper that is gone.
+  void KeepersThatDoNotReplyAreReplaced() {
+    FleetSettings settings = SettingsOf(kSizes[0]);
+    FleetSimulation fleet = MakeFleet(settings);
+    SetLimits(fleet, 5);
+    Settle(fleet, 40);
+    for (std::size_t i = 1; i < fleet.instances.size(); ++i) {
+      fleet.cut_off.insert(i);
+    }
+    Run(fleet, Millis(500), 40);
+    ForwarderFixture& instance = fleet.instances[0];
+    const CallId call = Arrive(instance, "/work/1");
+    Advance(instance, Millis(300));
+    Section("a call ends although nobody replies", [&] {
+      const bool is_sent = AttemptsOf(instance, call) == 1;
+      CPPUNIT_ASSERT(is_sent || instance.answers.contains(call));
+    });
+  }
+
+  /// Guards against processes that one malformed message takes down, and
+  /// against limits or waits that it makes endless.
+  void MalformedMessagesDoNoHarm() {
+    ibisladder::testing::CheckProperty("any messages about limits", 1, 300, [] {
+      ForwarderFixture fixture = MakeFixture(2);
+      const CallId first = Arrive(fixture, "/work/1");
+      AnswerWithLimit(fixture, LastAttempt(fixture, first), 2);
+      const auto news = [&] {
+        LimitNews it;
+        it.server = LastAttempt(fixture, first).server;
+        it.is_limited = *rc::gen::arbitrary<bool>();
+        it.limit = RequestsPerSecond(*rc::gen::element(
+            -1.0, 0.0, 1e308, std::nan(""), HUGE_VAL, -HUGE_VAL, 3.0));
+        it.age = Duration(
+            *rc::gen::element<std::int64_t>(-1, 0, 5, INT64_MAX, INT64_MIN));
+        return it;
+      };
+      for (int i = 0; i < 20; ++i) {
+        const LimitNews one = news();
+        MergeLimits(*fixture.forwarder, std::span(&one, 1), fixture.now);
+        PermitRequest request;
+        request.number = *rc::gen::arbitrary<std::uint64_t>();
+        request.news = news();
+        PermitRequested(*fixture.forwarder, {"127.0.0.1", 1}, request,
+                        fixture.now);
+        PermitReply reply;
+        reply.number = *rc::gen::inRange<std::uint64_t>(0, 5);
+        reply.has_news = true;
+        reply.news = news();
+        reply.is_granted = *rc::gen::arbitrary<bool>();
+        reply.waits.fill(Duration(
+            *rc::gen::element<std::int64_t>(-1, 0, INT64_MAX, INT64_MIN)));
+        PermitReplied(*fixture.forwarder, reply, fixture.now);
+        CollectActions(fixture);
+        Arrive(fixture, "/work/1");
+        Advance(fixture, Millis(100));
+      }
+      Advance(fixture, Seconds(10));
+      RC_ASSERT(OpenCalls(*fixture.forwarder) == std::size_t{0});
+    });
+  }
+
  private:
   static double Served(const FleetSimulation& fleet, bool is_low) {
     return static_cast<double>(CountAnswers(fleet, 200, is_low));
