--- a/src/libs/gateway/forwarder.cc
+++ b/src/libs/gateway/forwarder.cc
@@ -108,9 +108,11 @@
 void SetDirectoryState(Forwarder& forwarder, const DirectoryState& state,
                        TimePoint now) {
   if (forwarder.directory_state == state) return;
-  forwarder.directory_state = state;
+  DirectoryState before = std::exchange(forwarder.directory_state, state);
+  before.members = state.members;
+  // Routers do not use the list of members.
+  if (!forwarder.routes || before == state) return;
   Context context{forwarder, now};
-  if (!forwarder.routes) return;
   for (auto& [id, service] : forwarder.services) {
     Internal::RefreshRouter(context, service);
   }
--- a/src/libs/gateway/limits.cc
+++ b/src/libs/gateway/limits.cc
@@ -22,8 +22,8 @@
 constexpr Duration kMaxPermitWait = Seconds(60);
 /// How long the end of a limit is told to instances that ask.
 constexpr Duration kEndedLimitAge = Seconds(60);
-/// So that the news fit a datagram.
-constexpr std::size_t kMaxNews = 200;
+/// Bounds the answer to an instance that asks.
+constexpr std::size_t kMaxNews = 1000;
 
 using Waits = std::array<Duration, routing::kPriorities>;
 
@@ -293,6 +293,8 @@
 
 void CheckPermits(Context& context) {
   Forwarder& forwarder = context.forwarder;
+  std::erase_if(forwarder.silent_keepers,
+                [&](const auto& it) { return context.now >= it.second; });
   std::vector<std::uint64_t> late;
   for (const auto& [number, wait] : forwarder.permit_waits) {
     if (context.now - wait.asked_at >= kPermitTimeout) late.push_back(number);
--- a/src/libs/routing/choice.cc
+++ b/src/libs/routing/choice.cc
@@ -57,11 +57,15 @@
 
 /// Whether every healthy server, or without any every last resort, has been
 /// tried, so that any of them may be tried again. A retry alone is no reason to
-/// use a last resort.
-bool AllTried(const Router& router, const RoutingRequest& request) {
+/// use a last resort. Servers whose limits leave no room count as tried, except
+/// for hedges, which gain nothing from the same server.
+bool AllTried(const Router& router, const RoutingRequest& request,
+              TimePoint now) {
   if (request.tried.empty()) return false;
   const auto tried = [&](std::uint32_t it) {
-    return IsTried(request, router.servers[it].id);
+    const ServerLoad& server = router.servers[it];
+    return IsTried(request, server.id) ||
+           (!request.is_hedge && IsHeldByLimit(server, request, now));
   };
   const auto& first =
       router.healthy.empty() ? router.last_resort : router.healthy;
@@ -312,7 +316,8 @@
 std::optional<Dispatch> Choose(const Router& router,
                                const RoutingRequest& request, TimePoint now,
                                Random& random) {
-  const ChoiceContext context{router, request, now, AllTried(router, request),
+  const ChoiceContext context{router, request, now,
+                              AllTried(router, request, now),
                               OpenConnectionBonus(router)};
   if (const auto trial = PickTrial(context, random)) {
     const ServerLoad& server = router.servers[*trial];
--- a/src/libs/routing/router.cc
+++ b/src/libs/routing/router.cc
@@ -145,13 +145,13 @@
       const Waiting& waiting = router.queue.classes[class_index][index];
       const bool open = HasOpenServer(router, waiting.request);
       const Duration left = waiting.request.deadline - now;
-      const RoutingRequest request = waiting.request;
       if (auto* limiting =
-              open ? FindLimitingServer(router, request, now) : nullptr) {
-        Take(router.queue, class_index, index, false);
+              open ? FindLimitingServer(router, waiting.request, now)
+                   : nullptr) {
+        const Waiting taken = Take(router.queue, class_index, index, false);
         router.decided.push_back(
-            {request.call,
-             RefuseLimited(router, request, *limiting, now, random)});
+            {taken.request.call,
+             RefuseLimited(router, taken.request, *limiting, now, random)});
         continue;
       }
       if (open && left > MinTimeLeft(router, waiting)) {
--- a/src/plugins/fleet/fleet_task.cc
+++ b/src/plugins/fleet/fleet_task.cc
@@ -34,6 +34,8 @@
 constexpr Duration kLimitsInterval = Seconds(10);
 constexpr Duration kFirstLimitsInterval = Millis(300);
 constexpr int kFirstLimitsQuestions = 3;
+/// Keeps datagrams below the usual size of packets.
+constexpr std::size_t kMaxLimitsPerDatagram = 40;
 /// Consecutive failed calls after which the store is considered lost.
 constexpr std::uint32_t kFailuresUntilLost = 3;
 
@@ -390,8 +392,13 @@
 
 void FleetTask::SendLimits(const Endpoint& peer,
                            const std::vector<gateway::LimitNews>& news) {
-  if (news.empty()) return;
-  peer_socket_->Send(peer, EncodeDatagram(DatagramKind::kLimits, news));
+  for (std::size_t i = 0; i < news.size(); i += kMaxLimitsPerDatagram) {
+    const std::size_t n = std::min(kMaxLimitsPerDatagram, news.size() - i);
+    const auto first = news.begin() + static_cast<std::ptrdiff_t>(i);
+    const std::vector<gateway::LimitNews> part(
+        first, first + static_cast<std::ptrdiff_t>(n));
+    peer_socket_->Send(peer, EncodeDatagram(DatagramKind::kLimits, part));
+  }
 }
 
 void FleetTask::AskPermit(const gateway::AskPermit& question) {
--- a/tests/auto/gateway/server_limits_test.cc
+++ b/tests/auto/gateway/server_limits_test.cc
@@ -10,6 +10,8 @@
 #include <cstdio>
 #include <cstdlib>
 #include <iostream>
+#include <map>
+#include <memory>
 #include <span>
 #include <string>
 #include <vector>
@@ -114,6 +116,8 @@
   CPPUNIT_TEST(EveryWayToAServerCounts);
   CPPUNIT_TEST(RequestsOfHigherPriorityComeFirst);
   CPPUNIT_TEST(RefusalsComeAtOnceWithTheTimeToReturn);
+  CPPUNIT_TEST(DeclinedCallsDoNotWaitForALimit);
+  CPPUNIT_TEST(WeightsOfASplitAreKept);
   CPPUNIT_TEST(KeepersThatDoNotReplyAreReplaced);
   CPPUNIT_TEST(MalformedMessagesDoNoHarm);
   CPPUNIT_TEST_SUITE_END();
@@ -353,6 +357,63 @@
     });
   }
 
+  /// Guards against a call that a server declined and that then waits, perhaps
+  /// to its deadline, since the only server that it has not tried has a limit.
+  void DeclinedCallsDoNotWaitForALimit() {
+    ForwarderFixture fixture = MakeFixture(2);
+    const CallId first = Arrive(fixture, "/work/1");
+    const std::string limited = LastAttempt(fixture, first).server_name;
+    AnswerWithLimit(fixture, LastAttempt(fixture, first), 0.2);
+    CallId call = Arrive(fixture, "/work/1");
+    // The first permit.
+    if (LastAttempt(fixture, call).server_name == limited) {
+      AnswerWithLimit(fixture, LastAttempt(fixture, call), 0.2);
+      call = Arrive(fixture, "/work/1");
+    }
+    Decline(fixture, LastAttempt(fixture, call));
+    Advance(fixture, Seconds(1));
+    CPPUNIT_ASSERT(AttemptsOf(fixture, call) == 2 ||
+                   fixture.answers.contains(call));
+  }
+
+  /// Guards against requests that move to the other service of a split because
+  /// the servers of theirs have limits.
+  void WeightsOfASplitAreKept() {
+    ForwarderFixture fixture = MakeFixture(0);
+    auto configuration = std::make_shared<Configuration>();
+    configuration->version = ConfigVersion(2);
+    configuration->routes = {MakeRoute("/work/", "s", RepeatRule::kAtMostOnce)};
+    configuration->routes.front().services = {{"s", 3}, {"t", 1}};
+    configuration->services = {{"s", "/healthz", 300}, {"t", "/healthz", 300}};
+    InstallConfiguration(*fixture.forwarder, configuration, fixture.now);
+    const std::vector<ServerEntry> servers = {MakeServer("s1", "s"),
+                                              MakeServer("t1", "t")};
+    SetServers(*fixture.forwarder, servers, fixture.now);
+    constexpr int kCalls = 400;
+    std::map<std::string, int> sent;
+    for (int i = 0; i < kCalls; ++i) {
+      const CallId call = Arrive(fixture, "/work/1");
+      if (AttemptsOf(fixture, call) == 1) {
+        const SendAttempt attempt = LastAttempt(fixture, call);
+        ++sent[attempt.server_name];
+        if (attempt.server_name == "s1") {
+          AnswerWithLimit(fixture, attempt, 1);
+        } else {
+          Answer(fixture, attempt, 200);
+        }
+      }
+      Advance(fixture, Millis(25));
+    }
+    Section("the other service gets its share, and no more", [&] {
+      CPPUNIT_ASSERT(sent["t1"] >= kCalls / 4 - 2);
+      CPPUNIT_ASSERT(sent["t1"] <= kCalls / 4 + 2);
+    });
+    Section("the limited one gets its limit for 10 s", [&] {
+      CPPUNIT_ASSERT(sent["s1"] >= 8);
+      CPPUNIT_ASSERT(sent["s1"] <= 14);
+    });
+  }
+
   /// Guards against calls that wait for a keeper that is gone.
   void KeepersThatDoNotReplyAreReplaced() {
     FleetSettings settings = SettingsOf(kSizes[0]);
