--- /dev/null
+++ b/src/plugins/fleet/fleet_store_calls.cc
@@ -0,0 +1,123 @@
+// Calls to the store and their replies.
+#include <utility>
+
+#include "plugins/fleet/fleet_task.h"
+
+namespace ibisladder::fleet {
+namespace {
+
+/// Consecutive failed calls after which the store is considered lost.
+constexpr std::uint32_t kFailuresUntilLost = 3;
+
+}  // namespace
+
+/// Only watchers follow changes of the lists; other instances read them only at
+/// the start and to resynchronize. While the store is lost, only the renewals
+/// of the lease check whether it is available again.
+void FleetTask::UpdateViewPauses() {
+  servers_view_.is_paused =
+      is_store_lost_ || (!is_watching_ && !servers_view_.is_listing);
+  members_view_.is_paused =
+      is_store_lost_ || (!is_watching_ && !members_view_.is_listing);
+  configuration_view_.is_paused = is_store_lost_;
+}
+
+void FleetTask::RelistServersAndMembers(TimePoint now) {
+  Relist(servers_view_, CallOwner::kServers, now);
+  Relist(members_view_, CallOwner::kMembers, now);
+}
+
+void FleetTask::Relist(storesync::StoreView& view, CallOwner owner,
+                       TimePoint now) {
+  std::erase_if(open_calls_,
+                [owner](const auto& it) { return it.second == owner; });
+  storesync::Relist(view, now);
+}
+
+void FleetTask::SendDue(storesync::StoreView& view, CallOwner owner) {
+  if (const auto call = storesync::NextCall(view, net::MonotonicNow())) {
+    Send(owner, *call);
+  }
+}
+
+void FleetTask::SendDueRegistration() {
+  if (const auto call =
+          storesync::NextCall(registration_, net::MonotonicNow())) {
+    Send(CallOwner::kRegistration, *call);
+  }
+}
+
+void FleetTask::Send(CallOwner owner, const storesync::Call& call) {
+  open_calls_[++last_call_id_] = owner;
+  transport_->Send(last_call_id_, call);
+}
+
+void FleetTask::HandleReply(std::uint64_t id, const storesync::Reply& reply) {
+  const auto it = open_calls_.find(id);
+  if (it == open_calls_.end()) return;
+  const CallOwner owner = it->second;
+  open_calls_.erase(it);
+  TrackStoreAvailability(reply);
+  const TimePoint now = net::MonotonicNow();
+  switch (owner) {
+    case CallOwner::kConfiguration:
+      if (storesync::HandleReply(configuration_view_, reply, now, random_)) {
+        ApplyConfiguration();
+      }
+      SendDue(configuration_view_, owner);
+      break;
+    case CallOwner::kServers:
+      if (storesync::HandleReply(servers_view_, reply, now, random_)) {
+        ApplyServers();
+      }
+      UpdateViewPauses();
+      SendDue(servers_view_, owner);
+      break;
+    case CallOwner::kMembers:
+      if (storesync::HandleReply(members_view_, reply, now, random_)) {
+        ApplyMembers();
+      }
+      UpdateViewPauses();
+      SendDue(members_view_, owner);
+      break;
+    case CallOwner::kRegistration:
+      storesync::HandleReply(registration_, reply, now, random_);
+      SendDueRegistration();
+      break;
+  }
+}
+
+void FleetTask::TrackStoreAvailability(const storesync::Reply& reply) {
+  const auto* failed = std::get_if<storesync::CallFailed>(&reply);
+  if (failed == nullptr) {
+    // An open watch may be one of the lost calls and never return.
+    if (consecutive_failures_ > 0 && configuration_view_.is_waiting) {
+      Relist(configuration_view_, CallOwner::kConfiguration,
+             net::MonotonicNow());
+    }
+    consecutive_failures_ = 0;
+    if (is_store_lost_) HandleStoreRecovery();
+    return;
+  }
+  ++store_failures_;
+  if (++consecutive_failures_ < kFailuresUntilLost || is_store_lost_) return;
+  is_store_lost_ = true;
+  Log(LogEvent::kStoreLost,
+      {{"reason", storesync::ReasonName(failed->reason)},
+       {"failures", std::to_string(consecutive_failures_)}});
+}
+
+void FleetTask::HandleStoreRecovery() {
+  const TimePoint now = net::MonotonicNow();
+  is_store_lost_ = false;
+  std::erase_if(open_calls_, [](const auto& it) {
+    return it.second != CallOwner::kRegistration;
+  });
+  for (auto* it : {&configuration_view_, &servers_view_, &members_view_}) {
+    storesync::EndOutage(*it, now);
+  }
+  UpdateViewPauses();
+  Log(LogEvent::kStoreBack, {{"calls", std::to_string(last_call_id_)}});
+}
+
+}  // namespace ibisladder::fleet
