Log failed calls of the store, restarted reads and announced versions

The incident of a late configuration left three hypotheses that the logs could not tell apart. New: E1409 (another instance announces a higher version), E1410 (a call of the store failed), E1411 (a read is started again before its call has ended, and why), a counter of such reads and a gauge of the time behind. No decision changes.

--- a/src/libs/base/log_event.cc
+++ b/src/libs/base/log_event.cc
@@ -112,6 +112,12 @@
       return "change_refused";
     case LogEvent::kChangeUnknown:
       return "change_unknown";
+    case LogEvent::kConfigurationBehind:
+      return "configuration_behind";
+    case LogEvent::kStoreCallFailed:
+      return "store_call_failed";
+    case LogEvent::kStoreReadRestarted:
+      return "store_read_restarted";
     case LogEvent::kOperatorCall:
       return "operator_call";
     case LogEvent::kOperatorRefused:
--- a/src/libs/base/log_event.h
+++ b/src/libs/base/log_event.h
@@ -61,6 +61,9 @@
   kChangeConflict = 1406,
   kChangeRefused = 1407,
   kChangeUnknown = 1408,
+  kConfigurationBehind = 1409,
+  kStoreCallFailed = 1410,
+  kStoreReadRestarted = 1411,
 
   kOperatorCall = 1501,
   kOperatorRefused = 1502,
--- a/src/plugins/fleet/fleet_store_calls.cc
+++ b/src/plugins/fleet/fleet_store_calls.cc
@@ -1,5 +1,7 @@
 // Calls to the store and their replies.
+#include <algorithm>
 #include <utility>
+#include <variant>
 
 #include "plugins/fleet/fleet_task.h"
 
@@ -9,8 +11,64 @@
 /// Consecutive failed calls after which the store is considered lost.
 constexpr std::uint32_t kFailuresUntilLost = 3;
 
+struct CallNames {
+  const char* operator()(const storesync::RangeCall& /*call*/) const {
+    return "list";
+  }
+  const char* operator()(const storesync::WatchCall& /*call*/) const {
+    return "watch";
+  }
+  const char* operator()(const storesync::GrantLeaseCall& /*call*/) const {
+    return "grant lease";
+  }
+  const char* operator()(const storesync::RenewLeaseCall& /*call*/) const {
+    return "renew lease";
+  }
+  const char* operator()(const storesync::EndLeaseCall& /*call*/) const {
+    return "end lease";
+  }
+  const char* operator()(const storesync::PutCall& /*call*/) const {
+    return "put";
+  }
+};
+
 }  // namespace
 
+const char* FleetTask::OwnerName(CallOwner owner) {
+  switch (owner) {
+    case CallOwner::kConfiguration:
+      return "configuration";
+    case CallOwner::kServers:
+      return "servers";
+    case CallOwner::kMembers:
+      return "members";
+    case CallOwner::kRegistration:
+      return "registration";
+  }
+  return "unknown";
+}
+
+std::string FleetTask::DescribeOpenCall(CallOwner owner, TimePoint now) const {
+  const auto it = std::ranges::find_if(open_calls_, [owner](const auto& call) {
+    return call.second.owner == owner;
+  });
+  if (it == open_calls_.end()) return "none";
+  const OpenCall& call = it->second;
+  return std::string(call.name) + " " +
+         std::to_string(ToMillis(now - call.sent_at)) + " ms";
+}
+
+void FleetTask::LogFailedCall(const OpenCall& call,
+                              const storesync::CallFailed& failed) {
+  if (is_store_lost_) return;
+  const Duration elapsed = net::MonotonicNow() - call.sent_at;
+  Log(LogEvent::kStoreCallFailed,
+      {{"call", call.name},
+       {"for", OwnerName(call.owner)},
+       {"reason", storesync::ReasonName(failed.reason)},
+       {"after_ms", std::to_string(ToMillis(elapsed))}});
+}
+
 /// Only watchers follow changes of the lists; other instances read them only at
 /// the start and to resynchronize. While the store is lost, only the renewals
 /// of the lease check whether it is available again.
@@ -22,15 +80,22 @@
   configuration_view_.is_paused = is_store_lost_;
 }
 
-void FleetTask::RelistServersAndMembers(TimePoint now) {
-  Relist(servers_view_, CallOwner::kServers, now);
-  Relist(members_view_, CallOwner::kMembers, now);
+void FleetTask::RelistServersAndMembers(const char* reason, TimePoint now) {
+  Relist(servers_view_, CallOwner::kServers, reason, now);
+  Relist(members_view_, CallOwner::kMembers, reason, now);
 }
 
 void FleetTask::Relist(storesync::StoreView& view, CallOwner owner,
-                       TimePoint now) {
+                       const char* reason, TimePoint now) {
+  if (view.is_waiting) {
+    ++restarted_reads_;
+    Log(LogEvent::kStoreReadRestarted,
+        {{"for", OwnerName(owner)},
+         {"reason", reason},
+         {"open_call", DescribeOpenCall(owner, now)}});
+  }
   std::erase_if(open_calls_,
-                [owner](const auto& it) { return it.second == owner; });
+                [owner](const auto& it) { return it.second.owner == owner; });
   storesync::Relist(view, now);
 }
 
@@ -48,15 +113,19 @@
 }
 
 void FleetTask::Send(CallOwner owner, const storesync::Call& call) {
-  open_calls_[++last_call_id_] = owner;
+  open_calls_[++last_call_id_] = {owner, std::visit(CallNames{}, call),
+                                  net::MonotonicNow()};
   transport_->Send(last_call_id_, call);
 }
 
 void FleetTask::HandleReply(std::uint64_t id, const storesync::Reply& reply) {
   const auto it = open_calls_.find(id);
   if (it == open_calls_.end()) return;
-  const CallOwner owner = it->second;
+  const OpenCall call = it->second;
+  const CallOwner owner = call.owner;
   open_calls_.erase(it);
+  if (const auto* failed = std::get_if<storesync::CallFailed>(&reply))
+    LogFailedCall(call, *failed);
   TrackStoreAvailability(reply);
   const TimePoint now = net::MonotonicNow();
   switch (owner) {
@@ -93,7 +162,7 @@
     // An open watch may be one of the lost calls and never return.
     if (consecutive_failures_ > 0 && configuration_view_.is_waiting) {
       Relist(configuration_view_, CallOwner::kConfiguration,
-             net::MonotonicNow());
+             "an earlier call failed", net::MonotonicNow());
     }
     consecutive_failures_ = 0;
     if (is_store_lost_) HandleStoreRecovery();
@@ -111,7 +180,7 @@
   const TimePoint now = net::MonotonicNow();
   is_store_lost_ = false;
   std::erase_if(open_calls_, [](const auto& it) {
-    return it.second != CallOwner::kRegistration;
+    return it.second.owner != CallOwner::kRegistration;
   });
   for (auto* it : {&configuration_view_, &servers_view_, &members_view_}) {
     storesync::EndOutage(*it, now);
--- a/src/plugins/fleet/fleet_task.cc
+++ b/src/plugins/fleet/fleet_task.cc
@@ -110,8 +110,9 @@
   configuration_view_.settings.watch_wait =
       must_watch ? kWatcherConfigurationWatchWait : kConfigurationWatchWait;
   if (must_watch) {
-    RelistServersAndMembers(now);
-    Relist(configuration_view_, CallOwner::kConfiguration, now);
+    RelistServersAndMembers("starts to watch", now);
+    Relist(configuration_view_, CallOwner::kConfiguration, "starts to watch",
+           now);
   }
   lists_differ_since_.reset();
 }
@@ -120,12 +121,13 @@
   if (lists_differ_since_ && now - *lists_differ_since_ > kSyncTimeout) {
     storesync::EndLapseGrace(servers_view_);
     storesync::EndLapseGrace(members_view_);
-    RelistServersAndMembers(now);
+    RelistServersAndMembers("differs from the watcher's lists", now);
     lists_differ_since_.reset();
   }
   if (configuration_outdated_since_ &&
       now - *configuration_outdated_since_ > kSyncTimeout) {
-    Relist(configuration_view_, CallOwner::kConfiguration, now);
+    Relist(configuration_view_, CallOwner::kConfiguration,
+           "a higher version is announced", now);
     configuration_outdated_since_.reset();
   }
 }
@@ -162,6 +164,8 @@
     return;
   }
   configuration_version_ = std::max(configuration_version_, parsed->version);
+  if (configuration_version_ >= logged_announcement_)
+    configuration_behind_since_.reset();
   configuration_changed_.emit(
       std::make_shared<const gateway::Configuration>(std::move(*parsed)));
 }
@@ -222,14 +226,32 @@
       members_, options_.self.name, options_.directory));
 }
 
-void FleetTask::HandleUpdate(const gateway::ListUpdate& update) {
-  const TimePoint now = net::MonotonicNow();
-  gateway::RecordUpdate(watch_duty_, update.sender, now);
+void FleetTask::CheckAnnouncedVersion(const gateway::ListUpdate& update,
+                                      TimePoint now) {
   if (update.configuration <= configuration_version_) {
     configuration_outdated_since_.reset();
-  } else if (!configuration_outdated_since_) {
-    configuration_outdated_since_ = now;
+    return;
   }
+  if (!configuration_outdated_since_) configuration_outdated_since_ = now;
+  if (!configuration_behind_since_) configuration_behind_since_ = now;
+  if (update.configuration <= logged_announcement_) return;
+  logged_announcement_ = update.configuration;
+  Log(LogEvent::kConfigurationBehind,
+      {{"version", std::to_string(configuration_version_.value())},
+       {"announced", std::to_string(update.configuration.value())},
+       {"instance", update.sender},
+       {"open_call", DescribeOpenCall(CallOwner::kConfiguration, now)}});
+}
+
+Duration FleetTask::ConfigurationBehindFor(TimePoint now) const {
+  if (!configuration_behind_since_) return Duration::zero();
+  return now - *configuration_behind_since_;
+}
+
+void FleetTask::HandleUpdate(const gateway::ListUpdate& update) {
+  const TimePoint now = net::MonotonicNow();
+  gateway::RecordUpdate(watch_duty_, update.sender, now);
+  CheckAnnouncedVersion(update, now);
   if (is_watching_) return;
   const bool is_same = gateway::ApplyUpdate(lists_, update);
   if (is_same) {
--- a/src/plugins/fleet/fleet_task.h
+++ b/src/plugins/fleet/fleet_task.h
@@ -73,6 +73,11 @@
   /// Numbers of all and of failed calls to the store since the start.
   std::uint64_t store_calls() const { return last_call_id_; }
   std::uint64_t store_failures() const { return store_failures_; }
+  /// Number of reads that were started again before the open call had ended.
+  std::uint64_t restarted_reads() const { return restarted_reads_; }
+  /// Returns how long another instance has announced a higher version of the
+  /// configuration than is known here; zero if none does.
+  Duration ConfigurationBehindFor(TimePoint now) const;
   /// Returns whether the lists of servers and instances have been known once.
   bool has_lists() const { return has_lists_; }
 
@@ -118,6 +123,14 @@
     kMembers,
     kRegistration
   };
+  struct OpenCall {
+    CallOwner owner = CallOwner::kRegistration;
+    /// Kind of the call, as logged.
+    const char* name = "";
+    TimePoint sent_at;
+  };
+
+  static const char* OwnerName(CallOwner owner);
 
   void ConnectSignals();
   void Tick();
@@ -125,8 +138,12 @@
   void RelistIfOutdated(TimePoint now);
   void SendUpdateIfDue(TimePoint now);
   bool AreListsCurrent(TimePoint now) const;
-  void RelistServersAndMembers(TimePoint now);
-  void Relist(storesync::StoreView& view, CallOwner owner, TimePoint now);
+  void RelistServersAndMembers(const char* reason, TimePoint now);
+  void Relist(storesync::StoreView& view, CallOwner owner, const char* reason,
+              TimePoint now);
+  /// Returns the open call of `owner` as logged, such as "list 120 ms".
+  std::string DescribeOpenCall(CallOwner owner, TimePoint now) const;
+  void LogFailedCall(const OpenCall& call, const storesync::CallFailed& failed);
   void UpdateViewPauses();
   void SendDue(storesync::StoreView& view, CallOwner owner);
   void SendDueRegistration();
@@ -140,6 +157,7 @@
   void Publish();
   void HandleDatagram(const net::Datagram& datagram);
   void HandleUpdate(const gateway::ListUpdate& update);
+  void CheckAnnouncedVersion(const gateway::ListUpdate& update, TimePoint now);
   void AskForLimitsIfDue(TimePoint now);
   void SendToAll(const std::string& bytes);
   void SendTo(const gateway::Member& member, const std::string& bytes);
@@ -163,6 +181,11 @@
   std::optional<TimePoint> lists_differ_since_;
   /// Since when the watcher announces a higher version of the configuration.
   std::optional<TimePoint> configuration_outdated_since_;
+  /// Since when a higher version has been known, whether or not a new read
+  /// was started since then.
+  std::optional<TimePoint> configuration_behind_since_;
+  /// The highest version that was logged as announced.
+  ConfigVersion logged_announcement_;
   ConfigVersion configuration_version_;
   /// The listed instances, and this one if it is not listed and not leaving.
   std::vector<gateway::Member> members_;
@@ -170,7 +193,8 @@
   std::map<std::string, storesync::Revision> unreadable_servers_;
   std::uint64_t last_call_id_ = 0;
   std::uint64_t store_failures_ = 0;
-  std::map<std::uint64_t, CallOwner> open_calls_;
+  std::uint64_t restarted_reads_ = 0;
+  std::map<std::uint64_t, OpenCall> open_calls_;
   bool is_store_lost_ = false;
   std::uint32_t consecutive_failures_ = 0;
   int limits_questions_ = 0;
