Reproduce configurations in force late in three failing tests

A read of 0.7 s is started again every 0.4 s while the zone's watcher announces a higher version, a read of 1.5 s each time a renewal of the lease has failed; both never end. A second sender that is behind itself ends the wait after which an instance reads.

--- a/tests/auto/fleet/fleet_task_test.cc
+++ b/tests/auto/fleet/fleet_task_test.cc
@@ -5,6 +5,7 @@
 
 #include <functional>
 
+#include "plugins/fleet/datagrams.h"
 #include "tests/auto/support/port_range.h"
 #include "tests/auto/support/story.h"
 
@@ -17,23 +18,30 @@
 
 const ibisladder::testing::PortRange kPorts;
 constexpr char kConfigurationPrefix[] = "op/";
+/// Index of the instance's port for datagrams.
+constexpr int kInstancePort = 1;
+
+struct ScriptedReply {
+  storesync::Reply reply;
+  Duration delay = Millis(1);
+};
 
 /// Replies to each call with the script's result; without one the call stays
 /// open.
 class ScriptedStore : public KvTransport {
  public:
   using Script =
-      std::function<std::optional<storesync::Reply>(const storesync::Call&)>;
+      std::function<std::optional<ScriptedReply>(const storesync::Call&)>;
 
   ScriptedStore(net::EventLoop& loop, Script script)
       : loop_(loop), script_(std::move(script)) {}
 
   void Send(std::uint64_t id, const storesync::Call& call) override {
-    const auto reply = script_(call);
-    if (!reply) return;
+    const auto it = script_(call);
+    if (!it) return;
     timers_.push_back(std::make_unique<net::Timer>(
-        loop_, net::Timer::Kind::kOnce, Millis(1),
-        [this, id, reply] { signal_reply().emit(id, *reply); }));
+        loop_, net::Timer::Kind::kOnce, it->delay,
+        [this, id, reply = it->reply] { signal_reply().emit(id, reply); }));
   }
 
  private:
@@ -70,9 +78,69 @@
   return range != nullptr && range->prefix == kConfigurationPrefix;
 }
 
+bool IsRenewal(const storesync::Call& call) {
+  return std::holds_alternative<storesync::RenewLeaseCall>(call);
+}
+
+storesync::Reply NoReply() { return CallFailed{CallFailed::Reason::kNoReply}; }
+
+ScriptedReply ConfigurationList(int version, Duration delay = Millis(1)) {
+  return {storesync::RangeReply{
+              {{"op/config", std::to_string(version), Revision(4 + version)}},
+              false,
+              Revision(5)},
+          delay};
+}
+
+/// Replies of a store that contains nothing. Watches stay open.
+std::optional<ScriptedReply> ReplyOfEmptyStore(const storesync::Call& call) {
+  const storesync::LeaseReply lease{storesync::LeaseId(1), Seconds(3)};
+  if (std::holds_alternative<storesync::RangeCall>(call))
+    return ScriptedReply{storesync::RangeReply{{}, false, Revision(5)}};
+  if (std::holds_alternative<storesync::GrantLeaseCall>(call))
+    return ScriptedReply{lease};
+  if (std::holds_alternative<storesync::PutCall>(call))
+    return ScriptedReply{storesync::Stored{}};
+  if (IsRenewal(call)) return ScriptedReply{lease};
+  return std::nullopt;
+}
+
+/// Sends list updates of a version to the instance, as a watcher of its zone.
+class Announcer {
+ public:
+  Announcer(net::EventLoop& loop, const std::string& name, Duration interval,
+            Duration delay)
+      : name_(name),
+        socket_(std::move(*net::UdpSocket::Bind(
+            loop, {"127.0.0.1", kPorts.At(name == "n0" ? 0 : 2)}))),
+        start_(loop, net::Timer::Kind::kOnce, delay, [this, &loop, interval] {
+          timer_ = std::make_unique<net::Timer>(
+              loop, net::Timer::Kind::kPeriodic, interval, [this] { Send(); });
+        }) {}
+
+  int version = 1;
+
+ private:
+  void Send() {
+    gateway::ListUpdate update;
+    update.sender = name_;
+    update.configuration = ConfigVersion(version);
+    socket_->Send({"127.0.0.1", kPorts.At(kInstancePort)},
+                  EncodeDatagram(DatagramKind::kListUpdate, update));
+  }
+
+  std::string name_;
+  std::unique_ptr<net::UdpSocket> socket_;
+  std::unique_ptr<net::Timer> timer_;
+  net::Timer start_;
+};
+
 class FleetTaskTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FleetTaskTest);
   CPPUNIT_TEST(LostWatchIsReplacedAfterOutage);
+  CPPUNIT_TEST(LongReadEndsWhileAHigherVersionIsAnnounced);
+  CPPUNIT_TEST(LongReadEndsWhileOtherCallsFail);
+  CPPUNIT_TEST(SenderThatIsBehindDoesNotHideAHigherVersion);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -84,42 +152,84 @@
     int renewals = 0;
     int version = 1;
     const auto script =
-        [&](const storesync::Call& call) -> std::optional<storesync::Reply> {
-      if (IsConfigurationList(call)) {
-        return storesync::RangeReply{
-            {{"op/config", std::to_string(version), Revision(4 + version)}},
-            false,
-            Revision(5)};
-      }
-      if (std::holds_alternative<storesync::RangeCall>(call)) {
-        return storesync::RangeReply{{}, false, Revision(5)};
-      }
-      if (std::holds_alternative<storesync::GrantLeaseCall>(call)) {
-        return storesync::LeaseReply{storesync::LeaseId(1), Seconds(3)};
-      }
-      if (std::holds_alternative<storesync::PutCall>(call)) {
-        return storesync::Stored{};
-      }
-      if (std::holds_alternative<storesync::RenewLeaseCall>(call)) {
-        version = 2;
-        if (++renewals == 1) return CallFailed{CallFailed::Reason::kNoReply};
-        return storesync::LeaseReply{storesync::LeaseId(1), Seconds(3)};
-      }
-      return std::nullopt;
+        [&](const storesync::Call& call) -> std::optional<ScriptedReply> {
+      if (IsConfigurationList(call)) return ConfigurationList(version);
+      if (!IsRenewal(call)) return ReplyOfEmptyStore(call);
+      version = 2;
+      if (++renewals == 1) return ScriptedReply{NoReply()};
+      return ReplyOfEmptyStore(call);
     };
+    CPPUNIT_ASSERT(InstallsVersion(*loop, 2, script, Seconds(20)));
+  }
+
+  /// A read takes longer than the instance waits before it doubts that its
+  /// watch still works. If each doubt starts the read again, it never ends.
+  void LongReadEndsWhileAHigherVersionIsAnnounced() {
+    auto loop = std::move(*net::EventLoop::Create());
+    int version = 1;
+    const auto script =
+        [&](const storesync::Call& call) -> std::optional<ScriptedReply> {
+      if (!IsConfigurationList(call)) return ReplyOfEmptyStore(call);
+      return ConfigurationList(version, Millis(700));
+    };
+    Announcer announcer(*loop, "n0", Millis(250), Duration::zero());
+    net::Timer change(*loop, net::Timer::Kind::kOnce, Seconds(1),
+                      [&] { announcer.version = version = 2; });
+    CPPUNIT_ASSERT(InstallsVersion(*loop, 2, script, Seconds(6)));
+  }
+
+  /// Answers of the store are lost now and then, while a read takes longer than
+  /// the time between two lost ones.
+  void LongReadEndsWhileOtherCallsFail() {
+    auto loop = std::move(*net::EventLoop::Create());
+    int renewals = 0;
+    const auto script =
+        [&](const storesync::Call& call) -> std::optional<ScriptedReply> {
+      if (IsConfigurationList(call)) return ConfigurationList(1, Millis(1500));
+      if (IsRenewal(call) && ++renewals % 2 == 1)
+        return ScriptedReply{NoReply()};
+      return ReplyOfEmptyStore(call);
+    };
+    CPPUNIT_ASSERT(InstallsVersion(*loop, 1, script, Seconds(6)));
+  }
+
+  /// One sender knows the higher version and another, which is behind itself,
+  /// does not. The watch of the instance was lost.
+  void SenderThatIsBehindDoesNotHideAHigherVersion() {
+    auto loop = std::move(*net::EventLoop::Create());
+    int version = 1;
+    const auto script =
+        [&](const storesync::Call& call) -> std::optional<ScriptedReply> {
+      if (IsConfigurationList(call)) return ConfigurationList(version);
+      return ReplyOfEmptyStore(call);
+    };
+    Announcer informed(*loop, "n0", Millis(250), Duration::zero());
+    const Announcer behind(*loop, "n2", Millis(250), Millis(125));
+    // Later than the instance starts to watch, which makes it read again.
+    net::Timer change(*loop, net::Timer::Kind::kOnce, Seconds(2),
+                      [&] { informed.version = version = 2; });
+    CPPUNIT_ASSERT(InstallsVersion(*loop, 2, script, Seconds(6)));
+  }
+
+ private:
+  /// Returns whether an instance before this store installs the version within
+  /// the time.
+  static bool InstallsVersion(net::EventLoop& loop, std::uint64_t version,
+                              const ScriptedStore::Script& script,
+                              Duration time) {
     auto task = std::move(
-        *FleetTask::Create(*loop, MakeOptions("n1", 1),
-                           std::make_unique<ScriptedStore>(*loop, script)));
-    std::uint64_t seen = 0;
+        *FleetTask::Create(loop, MakeOptions("n1", kInstancePort),
+                           std::make_unique<ScriptedStore>(loop, script)));
+    bool is_installed = false;
     task->signal_configuration().connect(
         [&](const gateway::ConfigurationPtr& it) {
-          seen = it->version.value();
-          if (seen == 2) loop->Stop();
+          is_installed = it->version.value() == version;
+          if (is_installed) loop.Stop();
         });
-    net::Timer guard(*loop, net::Timer::Kind::kOnce, Seconds(20),
-                     [&] { loop->Stop(); });
-    loop->Run();
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, seen);
+    const net::Timer guard(loop, net::Timer::Kind::kOnce, time,
+                           [&] { loop.Stop(); });
+    loop.Run();
+    return is_installed;
   }
 };
 
