Let a list that is being read end before it is read again

Callers of some instances were routed by an old configuration for up to 15 s. Each doubt about the watch (another call failed, the zone's watcher announces a higher version for 350 ms) started the list of the configuration again and dropped the call that was reading it, so a list that takes longer than the time between two doubts, as 1,400 routes at 10 Mbit/s do, never ended; the dropped calls took the link meanwhile. Lists of servers and instances were restarted the same way, so a slow store could keep them from ending, too.

A list in progress goes on now: what changes after its first page is read by the watch that follows it. LongReadEndsWhileAHigherVersionIsAnnounced and LongReadEndsWhileOtherCallsFail failed before and pass.

--- a/src/libs/storesync/store_view.cc
+++ b/src/libs/storesync/store_view.cc
@@ -183,12 +183,14 @@
          !IsInLapseGrace(view, now);
 }
 
-void Relist(StoreView& view, TimePoint now) {
-  StartListing(view);
-  view.is_waiting = false;
+bool Relist(StoreView& view, TimePoint now) {
+  if (view.is_listing && view.is_waiting) return false;
+  const bool was_waiting = std::exchange(view.is_waiting, false);
+  if (!view.is_listing) StartListing(view);
   view.next_call_at = now;
   // Without calls there were no replies; the pause must not count as an outage.
   view.last_reply_at = now;
+  return was_waiting;
 }
 
 }  // namespace ibisladder::storesync
--- a/src/libs/storesync/store_view.h
+++ b/src/libs/storesync/store_view.h
@@ -83,8 +83,10 @@
 /// none is being read again, a reply arrived within `limit`, and no grace time
 /// runs, in which keys are kept that may have expired during an outage.
 bool IsCurrent(const StoreView& view, TimePoint now, Duration limit);
-/// Reads the whole list again, without waiting for the reply to an open call.
-void Relist(StoreView& view, TimePoint now);
+/// Reads the whole list again, without waiting for the reply to an open watch.
+/// A list that is being read is not started again: the changes since its first
+/// page are read after it. Returns whether an open call was abandoned.
+bool Relist(StoreView& view, TimePoint now);
 
 }  // namespace ibisladder::storesync
 
--- a/src/plugins/fleet/fleet_store_calls.cc
+++ b/src/plugins/fleet/fleet_store_calls.cc
@@ -87,16 +87,14 @@
 
 void FleetTask::Relist(storesync::StoreView& view, CallOwner owner,
                        const char* reason, TimePoint now) {
-  if (view.is_waiting) {
-    ++restarted_reads_;
-    Log(LogEvent::kStoreReadRestarted,
-        {{"for", OwnerName(owner)},
-         {"reason", reason},
-         {"open_call", DescribeOpenCall(owner, now)}});
-  }
+  const std::string open_call = DescribeOpenCall(owner, now);
+  if (!storesync::Relist(view, now)) return;
   std::erase_if(open_calls_,
                 [owner](const auto& it) { return it.second.owner == owner; });
-  storesync::Relist(view, now);
+  ++restarted_reads_;
+  Log(LogEvent::kStoreReadRestarted, {{"for", OwnerName(owner)},
+                                      {"reason", reason},
+                                      {"open_call", open_call}});
 }
 
 void FleetTask::SendDue(storesync::StoreView& view, CallOwner owner) {
