Let instances learn of a newer configuration from more than their zone's watcher

An instance whose watch is lost learned of a newer version only while all senders of its zone announced it: one that was behind itself ended the wait after which the instance reads. A watcher that was behind, or whose lists were not current after an outage, left its whole zone without a word.

The highest version that anybody announced counts now, until it is installed or a read of the store that began later does not contain it. Watchers pass on what they hear, tell three instances of each other zone, and are told by their own zone when they are behind; reads for an announced version are repeated after 0.35, 0.7 ... 5 s, so that a wrong version costs a few reads. SenderThatIsBehindDoesNotHideAHigherVersion failed before; WatcherThatIsBehindIsTold and WatcherTellsOtherZonesANewVersion need what is new.

--- a/src/libs/gateway/list_updates.cc
+++ b/src/libs/gateway/list_updates.cc
@@ -152,6 +152,21 @@
   return HashOf(lists) == update.lists_hash;
 }
 
+std::vector<Member> FirstWatchers(const SharedLists& lists,
+                                  const ZoneName& zone, std::size_t n) {
+  std::vector<Member> result(n);
+  std::size_t found = 0;
+  for (const auto& [name, member] : lists.members) {
+    if (member.zone != zone) continue;
+    const std::size_t position = TakeoverPositionOf(lists, zone, name);
+    if (position >= n) continue;
+    result[position] = member;
+    ++found;
+  }
+  result.resize(std::min(found, n));
+  return result;
+}
+
 void RecordUpdate(WatchDuty& duty, const std::string& sender, TimePoint now) {
   duty.last_updates[sender] = now;
 }
--- a/src/libs/gateway/list_updates.h
+++ b/src/libs/gateway/list_updates.h
@@ -33,7 +33,7 @@
   std::vector<Member> members;
   std::vector<std::string> removed_members;
   std::uint64_t lists_hash = 0;
-  /// Version that is installed at the sender.
+  /// Highest version that the sender knows of.
   ConfigVersion configuration;
 
   template <typename Archive>
@@ -79,6 +79,11 @@
   std::map<std::string, TimePoint> last_updates;
 };
 
+/// Returns the members of `zone` that watch before all others of it, at most
+/// `n`, in their order.
+std::vector<Member> FirstWatchers(const SharedLists& lists,
+                                  const ZoneName& zone, std::size_t n);
+
 /// Records that an update of `sender` has arrived.
 void RecordUpdate(WatchDuty& duty, const std::string& sender, TimePoint now);
 /// Returns whether this instance must watch the store's lists. No instance
--- a/src/plugins/fleet/datagrams.h
+++ b/src/plugins/fleet/datagrams.h
@@ -16,6 +16,7 @@
   kLimitsQuestion = 'q',
   kPermitRequest = 'p',
   kPermitReply = 'r',
+  kConfigurationVersion = 'v',
 };
 
 template <typename T>
--- a/src/plugins/fleet/fleet_datagrams.cc
+++ b/src/plugins/fleet/fleet_datagrams.cc
@@ -1,5 +1,6 @@
 // Sends and receives the datagrams between instances.
 #include <algorithm>
+#include <set>
 
 #include "plugins/fleet/datagrams.h"
 #include "plugins/fleet/fleet_task.h"
@@ -15,6 +16,13 @@
 constexpr int kFirstLimitsQuestions = 3;
 /// Keeps datagrams below the usual size of packets.
 constexpr std::size_t kMaxLimitsPerDatagram = 40;
+/// A watcher tells other zones a new version several times, since datagrams may
+/// be lost.
+constexpr Duration kTellInterval = Millis(250);
+constexpr Duration kTellTime = Millis(1000);
+/// Number of instances of each other zone that are told; they pass it on to
+/// their zone while they watch.
+constexpr std::size_t kToldPerZone = 3;
 
 struct EvidenceDatagram {
   InstanceId sender;
@@ -26,6 +34,16 @@
   }
 };
 
+struct VersionDatagram {
+  std::string sender;
+  ConfigVersion version;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(sender, version);
+  }
+};
+
 InstanceId InstanceIdOf(const gateway::Member& member) {
   return InstanceId(static_cast<std::uint32_t>(member.incarnation.value()));
 }
@@ -49,6 +67,51 @@
   for (const auto& it : members_) SendTo(it, bytes);
 }
 
+std::string FleetTask::EncodeVersion() const {
+  return EncodeDatagram(
+      DatagramKind::kConfigurationVersion,
+      VersionDatagram{options_.self.name, gateway::HighestKnown(lag_)});
+}
+
+/// While a watcher's lists are not current, it sends no updates, which would
+/// contain the version; its zone is told by these datagrams then.
+void FleetTask::TellVersionIfDue(TimePoint now) {
+  const ConfigVersion version = gateway::HighestKnown(lag_);
+  if (version > told_version_) {
+    told_version_ = version;
+    first_told_at_ = now;
+    last_told_at_ = now - kTellInterval;
+  }
+  const bool is_due = is_watching_ && now - first_told_at_ < kTellTime &&
+                      now - last_told_at_ >= kTellInterval;
+  if (!is_due) return;
+  last_told_at_ = now;
+  const std::string bytes = EncodeVersion();
+  std::set<ZoneName> zones;
+  for (const auto& [name, member] : lists_.members) {
+    if (member.zone != options_.self.zone) {
+      zones.insert(member.zone);
+    } else if (!is_announcing_) {
+      SendTo(member, bytes);
+    }
+  }
+  for (const auto& zone : zones) {
+    for (const auto& it : gateway::FirstWatchers(lists_, zone, kToldPerZone))
+      SendTo(it, bytes);
+  }
+}
+
+void FleetTask::HandleAnnouncedVersion(const std::string& sender,
+                                       ConfigVersion version) {
+  const TimePoint now = net::MonotonicNow();
+  if (!gateway::RecordAnnouncement(lag_, version, sender, now)) return;
+  Log(LogEvent::kConfigurationBehind,
+      {{"version", std::to_string(lag_.installed.value())},
+       {"announced", std::to_string(version.value())},
+       {"instance", sender},
+       {"open_call", DescribeOpenCall(CallOwner::kConfiguration, now)}});
+}
+
 void FleetTask::ShareLimits(const std::vector<gateway::LimitNews>& news) {
   SendToAll(EncodeDatagram(DatagramKind::kLimits, news));
 }
@@ -99,11 +162,15 @@
   std::vector<gateway::LimitNews> limits;
   gateway::PermitRequest request;
   gateway::PermitReply reply;
+  VersionDatagram version;
   if (kind == DatagramKind::kEvidence && wire::DecodePortable(body, evidence)) {
     evidence_received_.emit(evidence.sender, evidence.digests);
   } else if (kind == DatagramKind::kListUpdate &&
              wire::DecodePortable(body, update)) {
-    HandleUpdate(update);
+    HandleUpdate(datagram.peer, update);
+  } else if (kind == DatagramKind::kConfigurationVersion &&
+             wire::DecodePortable(body, version)) {
+    HandleAnnouncedVersion(version.sender, version.version);
   } else if (kind == DatagramKind::kLimits &&
              wire::DecodePortable(body, limits)) {
     limits_received_.emit(limits);
--- a/src/plugins/fleet/fleet_store_calls.cc
+++ b/src/plugins/fleet/fleet_store_calls.cc
@@ -128,9 +128,7 @@
   const TimePoint now = net::MonotonicNow();
   switch (owner) {
     case CallOwner::kConfiguration:
-      if (storesync::HandleReply(configuration_view_, reply, now, random_)) {
-        ApplyConfiguration();
-      }
+      HandleConfigurationReply(call, reply, now);
       SendDue(configuration_view_, owner);
       break;
     case CallOwner::kServers:
@@ -154,6 +152,21 @@
   }
 }
 
+void FleetTask::HandleConfigurationReply(const OpenCall& call,
+                                         const storesync::Reply& reply,
+                                         TimePoint now) {
+  if (storesync::HandleReply(configuration_view_, reply, now, random_))
+    ApplyConfiguration();
+  const bool is_list_read =
+      std::holds_alternative<storesync::RangeReply>(reply) &&
+      !configuration_view_.is_listing;
+  const ConfigVersion announced = lag_.announced;
+  if (!is_list_read || !gateway::RecordRead(lag_, call.sent_at, now)) return;
+  Log(LogEvent::kConfigurationFetchFailed,
+      {{"version", std::to_string(announced.value())},
+       {"reason", "the store does not contain the announced version"}});
+}
+
 void FleetTask::TrackStoreAvailability(const storesync::Reply& reply) {
   const auto* failed = std::get_if<storesync::CallFailed>(&reply);
   if (failed == nullptr) {
--- a/src/plugins/fleet/fleet_task.cc
+++ b/src/plugins/fleet/fleet_task.cc
@@ -26,8 +26,8 @@
 constexpr Duration kServersWatchWait = Millis(300);
 /// A watcher sends no updates if the store's last reply is older.
 constexpr Duration kMaxReplyAge = Millis(800);
-/// How long differences from the watcher may last before the lists or the
-/// configuration are read again. Reordered datagrams cause shorter ones.
+/// How long differences from the watcher may last before the lists are read
+/// again. Reordered datagrams cause shorter ones.
 constexpr Duration kSyncTimeout = Millis(350);
 
 storesync::ViewSettings MakeViewSettings(const std::string& prefix,
@@ -99,6 +99,7 @@
   if (storesync::RemoveLapsedKeys(servers_view_, now)) ApplyServers();
   if (storesync::RemoveLapsedKeys(members_view_, now)) ApplyMembers();
   SendUpdateIfDue(now);
+  TellVersionIfDue(now);
   AskForLimitsIfDue(now);
 }
 
@@ -124,11 +125,9 @@
     RelistServersAndMembers("differs from the watcher's lists", now);
     lists_differ_since_.reset();
   }
-  if (configuration_outdated_since_ &&
-      now - *configuration_outdated_since_ > kSyncTimeout) {
+  if (gateway::TakeDueRead(lag_, now)) {
     Relist(configuration_view_, CallOwner::kConfiguration,
            "a higher version is announced", now);
-    configuration_outdated_since_.reset();
   }
 }
 
@@ -146,7 +145,7 @@
   if (!gateway::IsUpdateDue(update_log_, lists_, now)) return;
   gateway::ListUpdate update = gateway::MakeUpdate(update_log_, lists_, now);
   update.sender = options_.self.name;
-  update.configuration = configuration_version_;
+  update.configuration = gateway::HighestKnown(lag_);
   const std::string bytes = EncodeDatagram(DatagramKind::kListUpdate, update);
   for (const auto& [name, member] : lists_.members) {
     if (member.zone == options_.self.zone) SendTo(member, bytes);
@@ -163,9 +162,7 @@
         {{"place", parsed.error().place}, {"reason", parsed.error().message}});
     return;
   }
-  configuration_version_ = std::max(configuration_version_, parsed->version);
-  if (configuration_version_ >= logged_announcement_)
-    configuration_behind_since_.reset();
+  gateway::RecordInstalled(lag_, parsed->version, net::MonotonicNow());
   configuration_changed_.emit(
       std::make_shared<const gateway::Configuration>(std::move(*parsed)));
 }
@@ -226,32 +223,13 @@
       members_, options_.self.name, options_.directory));
 }
 
-void FleetTask::CheckAnnouncedVersion(const gateway::ListUpdate& update,
-                                      TimePoint now) {
-  if (update.configuration <= configuration_version_) {
-    configuration_outdated_since_.reset();
-    return;
-  }
-  if (!configuration_outdated_since_) configuration_outdated_since_ = now;
-  if (!configuration_behind_since_) configuration_behind_since_ = now;
-  if (update.configuration <= logged_announcement_) return;
-  logged_announcement_ = update.configuration;
-  Log(LogEvent::kConfigurationBehind,
-      {{"version", std::to_string(configuration_version_.value())},
-       {"announced", std::to_string(update.configuration.value())},
-       {"instance", update.sender},
-       {"open_call", DescribeOpenCall(CallOwner::kConfiguration, now)}});
-}
-
-Duration FleetTask::ConfigurationBehindFor(TimePoint now) const {
-  if (!configuration_behind_since_) return Duration::zero();
-  return now - *configuration_behind_since_;
-}
-
-void FleetTask::HandleUpdate(const gateway::ListUpdate& update) {
+void FleetTask::HandleUpdate(const Endpoint& peer,
+                             const gateway::ListUpdate& update) {
   const TimePoint now = net::MonotonicNow();
   gateway::RecordUpdate(watch_duty_, update.sender, now);
-  CheckAnnouncedVersion(update, now);
+  HandleAnnouncedVersion(update.sender, update.configuration);
+  if (gateway::MustTell(lag_, update.configuration, now))
+    peer_socket_->Send(peer, EncodeVersion());
   if (is_watching_) return;
   const bool is_same = gateway::ApplyUpdate(lists_, update);
   if (is_same) {
--- a/src/plugins/fleet/fleet_task.h
+++ b/src/plugins/fleet/fleet_task.h
@@ -13,6 +13,7 @@
 #include "libs/base/log_event.h"
 #include "libs/detection/detector.h"
 #include "libs/gateway/configuration.h"
+#include "libs/gateway/configuration_lag.h"
 #include "libs/gateway/list_updates.h"
 #include "libs/gateway/messages.h"
 #include "libs/net/event_loop.h"
@@ -75,9 +76,7 @@
   std::uint64_t store_failures() const { return store_failures_; }
   /// Number of reads that were started again before the open call had ended.
   std::uint64_t restarted_reads() const { return restarted_reads_; }
-  /// Returns how long another instance has announced a higher version of the
-  /// configuration than is known here; zero if none does.
-  Duration ConfigurationBehindFor(TimePoint now) const;
+  const gateway::ConfigurationLag& configuration_lag() const { return lag_; }
   /// Returns whether the lists of servers and instances have been known once.
   bool has_lists() const { return has_lists_; }
 
@@ -156,9 +155,14 @@
   void ApplyMembers();
   void Publish();
   void HandleDatagram(const net::Datagram& datagram);
-  void HandleUpdate(const gateway::ListUpdate& update);
-  void CheckAnnouncedVersion(const gateway::ListUpdate& update, TimePoint now);
+  void HandleUpdate(const Endpoint& peer, const gateway::ListUpdate& update);
+  void HandleAnnouncedVersion(const std::string& sender, ConfigVersion version);
+  void TellVersionIfDue(TimePoint now);
+  void HandleConfigurationReply(const OpenCall& call,
+                                const storesync::Reply& reply, TimePoint now);
   void AskForLimitsIfDue(TimePoint now);
+  /// Returns the datagram that tells the highest known version.
+  std::string EncodeVersion() const;
   void SendToAll(const std::string& bytes);
   void SendTo(const gateway::Member& member, const std::string& bytes);
   void Log(LogEvent event, std::vector<LogField> fields);
@@ -179,14 +183,12 @@
   bool is_announcing_ = false;
   /// Since when the lists differ from those that the zone's watcher announces.
   std::optional<TimePoint> lists_differ_since_;
-  /// Since when the watcher announces a higher version of the configuration.
-  std::optional<TimePoint> configuration_outdated_since_;
-  /// Since when a higher version has been known, whether or not a new read
-  /// was started since then.
-  std::optional<TimePoint> configuration_behind_since_;
-  /// The highest version that was logged as announced.
-  ConfigVersion logged_announcement_;
-  ConfigVersion configuration_version_;
+  gateway::ConfigurationLag lag_;
+  /// The highest version that this instance has told others as a watcher, and
+  /// when it first and last did.
+  ConfigVersion told_version_;
+  TimePoint first_told_at_;
+  TimePoint last_told_at_;
   /// The listed instances, and this one if it is not listed and not leaving.
   std::vector<gateway::Member> members_;
   std::vector<gateway::ServerEntry> published_servers_;
--- a/tests/auto/fleet/fleet_task_test.cc
+++ b/tests/auto/fleet/fleet_task_test.cc
@@ -105,7 +105,8 @@
   return std::nullopt;
 }
 
-/// Sends list updates of a version to the instance, as a watcher of its zone.
+/// Sends list updates of a version to the instance, as a watcher of its zone,
+/// and counts the datagrams that tell a version.
 class Announcer {
  public:
   Announcer(net::EventLoop& loop, const std::string& name, Duration interval,
@@ -116,9 +117,17 @@
         start_(loop, net::Timer::Kind::kOnce, delay, [this, &loop, interval] {
           timer_ = std::make_unique<net::Timer>(
               loop, net::Timer::Kind::kPeriodic, interval, [this] { Send(); });
-        }) {}
+        }) {
+    socket_->signal_received().connect([this](const net::Datagram& it) {
+      constexpr auto kKind =
+          static_cast<char>(DatagramKind::kConfigurationVersion);
+      told += !it.bytes.empty() && it.bytes[0] == kKind ? 1 : 0;
+    });
+  }
 
   int version = 1;
+  /// Datagrams of the instance that tell a version.
+  int told = 0;
 
  private:
   void Send() {
@@ -141,6 +150,8 @@
   CPPUNIT_TEST(LongReadEndsWhileAHigherVersionIsAnnounced);
   CPPUNIT_TEST(LongReadEndsWhileOtherCallsFail);
   CPPUNIT_TEST(SenderThatIsBehindDoesNotHideAHigherVersion);
+  CPPUNIT_TEST(WatcherThatIsBehindIsTold);
+  CPPUNIT_TEST(WatcherTellsOtherZonesANewVersion);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -211,7 +222,54 @@
     CPPUNIT_ASSERT(InstallsVersion(*loop, 2, script, Seconds(6)));
   }
 
+  /// The zone's watcher lost the answer with a version that others of its zone
+  /// have got. Without a word of theirs, nobody would notice.
+  void WatcherThatIsBehindIsTold() {
+    auto loop = std::move(*net::EventLoop::Create());
+    const Announcer behind(*loop, "n0", Millis(250), Duration::zero());
+    Run(*loop, Seconds(2), [](const storesync::Call& call) {
+      return IsConfigurationList(call) ? std::optional(ConfigurationList(2))
+                                       : ReplyOfEmptyStore(call);
+    });
+    CPPUNIT_ASSERT(behind.told > 0);
+  }
+
+  /// All instances of a zone may lose the same answers.
+  void WatcherTellsOtherZonesANewVersion() {
+    auto loop = std::move(*net::EventLoop::Create());
+    gateway::Member other;
+    other.name = "n0";
+    other.zone = ZoneName("b");
+    other.peer_endpoint = {"127.0.0.1", kPorts.At(0)};
+    int version = 0;
+    Announcer silent(*loop, "n0", Seconds(60), Duration::zero());
+    Run(*loop, Seconds(3), [&](const storesync::Call& call) {
+      const auto* range = std::get_if<storesync::RangeCall>(&call);
+      if (range == nullptr || range->prefix != "members/") {
+        return IsConfigurationList(call)
+                   ? std::optional(ConfigurationList(++version))
+                   : ReplyOfEmptyStore(call);
+      }
+      const storesync::Item item{"members/n0", wire::EncodePortable(other),
+                                 Revision(1)};
+      return std::optional(
+          ScriptedReply{storesync::RangeReply{{item}, false, Revision(5)}});
+    });
+    CPPUNIT_ASSERT(silent.told > 1);
+  }
+
  private:
+  /// Runs an instance before this store.
+  static void Run(net::EventLoop& loop, Duration time,
+                  const ScriptedStore::Script& script) {
+    auto task = std::move(
+        *FleetTask::Create(loop, MakeOptions("n1", kInstancePort),
+                           std::make_unique<ScriptedStore>(loop, script)));
+    const net::Timer guard(loop, net::Timer::Kind::kOnce, time,
+                           [&] { loop.Stop(); });
+    loop.Run();
+  }
+
   /// Returns whether an instance before this store installs the version within
   /// the time.
   static bool InstallsVersion(net::EventLoop& loop, std::uint64_t version,
