--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -21,6 +21,9 @@
 /// on a connection that the server is closing.
 constexpr Duration kIdleLimit = Seconds(4);
 constexpr std::size_t kMaxHeaderBytes = 64U << 10U;
+/// Bytes on the wire per byte of the largest answer: chunks have lengths, and
+/// interim answers, which evhttp drops without a limit, may come before it.
+constexpr std::size_t kWireBytesFactor = 2;
 /// A call whose answer makes progress may take so many times its timeout.
 constexpr int kTotalTimeoutFactor = 2;
 constexpr Duration kLateTurnGrace = Millis(100);
@@ -113,6 +116,7 @@
   bool answer_started = false;
   /// Bytes that have arrived since the call was sent, and what counts them.
   std::size_t received = 0;
+  std::size_t max_received = 0;
   evbuffer_cb_entry* input_counter = nullptr;
   std::unique_ptr<Timer> connect_timer;
   std::unique_ptr<Timer> failure_timer;
@@ -160,6 +164,7 @@
                            EV_READ, 0, call.max_answer_bytes + kMaxHeaderBytes);
   evbuffer* input =
       bufferevent_get_input(evhttp_connection_get_bufferevent(connection));
+  it.max_received = kWireBytesFactor * call.max_answer_bytes + kMaxHeaderBytes;
   it.input_counter = evbuffer_add_cb(input, &HttpClient::OnInput, &it);
   const Duration total = call.total_timeout > Duration::zero()
                              ? call.total_timeout
@@ -229,7 +234,16 @@
 
 void HttpClient::OnInput(evbuffer* /*input*/, const evbuffer_cb_info* info,
                          void* exchange) {
-  static_cast<Exchange*>(exchange)->received += info->n_added;
+  auto* it = static_cast<Exchange*>(exchange);
+  it->received += info->n_added;
+  if (it->received <= it->max_received || it->failure_timer != nullptr) return;
+  // Later, since evhttp is about to read the buffer.
+  it->failure_timer = std::make_unique<Timer>(
+      it->client->loop_, Timer::Kind::kOnce, Duration::zero(),
+      [client = it->client, id = it->id] {
+        client->Cancel(id);
+        client->error_.emit(HttpError{id, HttpFailure::kTooLarge});
+      });
 }
 
 void HttpClient::CloseIdle(TimePoint now) {
