Log which request was at a server when its connection ended

The incident of requests that crash servers left hypotheses that the logs could not tell apart, since no line said that two requests are the same. No decision changes.

--- a/src/libs/base/log_event.cc
+++ b/src/libs/base/log_event.cc
@@ -42,6 +42,8 @@
       return "call_cancelled";
     case LogEvent::kAttemptFailed:
       return "attempt_failed";
+    case LogEvent::kRequestLost:
+      return "request_lost";
     case LogEvent::kServerChosen:
       return "server_chosen";
     case LogEvent::kCallQueued:
--- a/src/libs/base/log_event.h
+++ b/src/libs/base/log_event.h
@@ -22,6 +22,7 @@
   kLateAnswerDropped = 1009,
   kCallCancelled = 1010,
   kAttemptFailed = 1011,
+  kRequestLost = 1012,
 
   kServerChosen = 1101,
   kCallQueued = 1102,
--- a/src/libs/gateway/answers.cc
+++ b/src/libs/gateway/answers.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "libs/gateway/forwarder_state.h"
+#include "libs/gateway/request_key.h"
 
 namespace ibisladder::gateway::Internal {
 namespace {
@@ -198,6 +199,15 @@
   } else {
     call.may_have_run = true;
   }
+  const bool is_lost = failure == AttemptFailure::kConnectionLost ||
+                       failure == AttemptFailure::kTruncated;
+  if (is_lost) {
+    Log(context, LogEvent::kRequestLost,
+        {{"request", call.request->request_id},
+         {"key", FormatKey(KeyOf(*call.request))},
+         {"server", server},
+         {"attempt", std::to_string(call.attempts)}});
+  }
   RetryOrFinish(context, call_id, end, server);
 }
 
--- a/src/libs/gateway/messages.h
+++ b/src/libs/gateway/messages.h
@@ -34,6 +34,8 @@
   /// All header fields as received.
   Headers headers;
   std::string body;
+  /// IP address that the request came from; empty if not known.
+  std::string caller_address;
   /// How long the caller waits; nullopt if the request does not say.
   std::optional<Duration> timeout;
 };
--- a/src/plugins/gateway/caller_connections.cc
+++ b/src/plugins/gateway/caller_connections.cc
@@ -38,6 +38,8 @@
   CallerConnections* connections;
   std::uint64_t id;
   bufferevent* bev;
+  /// IP address of the caller.
+  std::string address;
   http1::RequestParser parser;
   std::deque<PendingAnswer> pending_answers;
   /// Set after the last request that is read; further input is dropped, and the
@@ -121,7 +123,7 @@
 CallerConnections::~CallerConnections() = default;
 
 void CallerConnections::OnAccept(evconnlistener* /*listener*/,
-                                 evutil_socket_t fd, sockaddr* /*address*/,
+                                 evutil_socket_t fd, sockaddr* address,
                                  int /*size*/, void* self) {
   auto& owner = *static_cast<CallerConnections*>(self);
   const int on = 1;
@@ -132,6 +134,7 @@
   const http1::Limits limits{owner.limits_.header_bytes,
                              owner.limits_.body_bytes};
   auto connection = std::make_unique<CallerConnection>(&owner, id, bev, limits);
+  connection->address = net::ToEndpoint(address).address;
   connection->last_activity_at = net::MonotonicNow();
   bufferevent_setcb(bev, &CallerConnections::OnReadable,
                     &CallerConnections::OnWritten, &CallerConnections::OnEvent,
@@ -140,6 +143,13 @@
   owner.connections_.emplace(id, std::move(connection));
 }
 
+std::string CallerConnections::AddressOf(CallId call) const {
+  const auto it = connection_of_call_.find(call);
+  if (it == connection_of_call_.end()) return "";
+  const auto connection = connections_.find(it->second);
+  return connection == connections_.end() ? "" : connection->second->address;
+}
+
 void CallerConnections::OnReadable(bufferevent* /*bev*/, void* connection) {
   auto& it = *static_cast<CallerConnection*>(connection);
   it.connections->Read(it);
--- a/src/plugins/gateway/caller_connections.h
+++ b/src/plugins/gateway/caller_connections.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -54,6 +55,8 @@
   /// Emitted for each unanswered request whose connection is closed.
   sigc::signal<void(CallId)>& signal_caller_left() { return caller_left_; }
 
+  /// IP address of the caller; empty if it has left.
+  std::string AddressOf(CallId call) const;
   std::size_t open_connections() const { return connections_.size(); }
 
  private:
--- a/src/plugins/gateway/gateway_task.cc
+++ b/src/plugins/gateway/gateway_task.cc
@@ -40,9 +40,9 @@
 
 void GatewayTask::ConnectSignals() {
   callers_->signal_request().connect([this](CallId id, http1::Request& it) {
-    RequestArrived(*forwarder_,
-                   options_.codec.decode_request(id, std::move(it)),
-                   net::MonotonicNow());
+    CallerRequest request = options_.codec.decode_request(id, std::move(it));
+    request.caller_address = callers_->AddressOf(id);
+    RequestArrived(*forwarder_, std::move(request), net::MonotonicNow());
     PerformActions();
   });
   callers_->signal_caller_left().connect([this](CallId id) {
