--- a/tests/auto/gateway/fleet_queries.cc
+++ b/tests/auto/gateway/fleet_queries.cc
@@ -35,6 +35,17 @@
       }));
 }
 
+std::size_t CountSentFor(const FleetSimulation& fleet,
+                         const CrashingRequest& request, TimePoint from,
+                         TimePoint to) {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(fleet.sent, [&](const SentRequest& it) {
+        return it.target == request.target &&
+               it.caller_address == request.caller_address && it.at >= from &&
+               it.at < to;
+      }));
+}
+
 std::size_t CountAnswers(const FleetSimulation& fleet, int status,
                          bool is_low) {
   std::size_t n = 0;
--- a/tests/auto/gateway/fleet_simulation.cc
+++ b/tests/auto/gateway/fleet_simulation.cc
@@ -16,6 +16,10 @@
 constexpr std::size_t kMaxIdleConnections = 4;
 constexpr Duration kServerWarmUp = Seconds(3);
 constexpr int kWarmingSlowdown = 2;
+/// Time from the start of a crashing request to the crash, and from that to the
+/// server's next start.
+constexpr Duration kTimeToCrash = Millis(80);
+constexpr Duration kRestartTime = Seconds(3);
 constexpr char kService[] = "s";
 constexpr char kServiceWithoutServers[] = "t";
 
@@ -59,6 +63,13 @@
   return IsWarming(fleet, server) ? time * kWarmingSlowdown : time;
 }
 
+bool IsCrashing(const FleetSimulation& fleet, const ServerRequest& request) {
+  const CallerRequest& it = *request.attempt.request;
+  const CrashingRequest& crashing = fleet.settings.crashing;
+  return it.target == crashing.target &&
+         it.caller_address == crashing.caller_address;
+}
+
 void StartWaiting(FleetSimulation& fleet, SimulatedServer& server) {
   while (!server.waiting.empty() &&
          server.running.size() < server.entry.slots) {
@@ -67,7 +78,9 @@
     // Until now, `ends_at` was the time of the dispatch.
     fleet.waited += fleet.now - request.ends_at;
     ++fleet.started;
-    request.ends_at = fleet.now + DrawServiceTime(fleet, server);
+    request.ends_at = fleet.now + (IsCrashing(fleet, request)
+                                       ? kTimeToCrash
+                                       : DrawServiceTime(fleet, server));
     server.running.push_back(std::move(request));
   }
 }
@@ -93,7 +106,9 @@
 void Deliver(FleetSimulation& fleet, std::size_t instance,
              const SendAttempt& attempt) {
   SimulatedServer& server = fleet.servers.at(attempt.server_name);
-  fleet.sent.push_back({fleet.now, attempt.server_name, instance});
+  fleet.sent.push_back({fleet.now, attempt.server_name, instance,
+                        attempt.request->target,
+                        attempt.request->caller_address});
   if (server.mode == ServerMode::kRefuses) {
     FailFrom(fleet, instance, attempt, AttemptFailure::kConnectFailed);
     return;
@@ -153,8 +168,42 @@
   }
 }
 
+/// Ends all requests of a server and its connections.
+void EndRequests(FleetSimulation& fleet, SimulatedServer& server) {
+  const auto running = std::exchange(server.running, {});
+  const auto waiting = std::exchange(server.waiting, {});
+  for (auto& [key, idle] : fleet.idle) {
+    if (key.second == server.entry.name) idle.clear();
+  }
+  for (const auto& it : running)
+    FailFrom(fleet, it.instance, it.attempt, AttemptFailure::kConnectionLost);
+  for (const auto& it : waiting)
+    FailFrom(fleet, it.instance, it.attempt, AttemptFailure::kConnectionLost);
+}
+
+/// Crashes the server if it has executed the crashing request.
+void CrashIfDue(FleetSimulation& fleet, SimulatedServer& server) {
+  const bool is_due = std::ranges::any_of(server.running, [&](const auto& it) {
+    return it.ends_at <= fleet.now && IsCrashing(fleet, it);
+  });
+  if (!is_due) return;
+  fleet.crashes.push_back(fleet.now);
+  server.mode = ServerMode::kRefuses;
+  server.starts_at = fleet.now + kRestartTime;
+  EndRequests(fleet, server);
+}
+
+void StartCrashedServers(FleetSimulation& fleet) {
+  std::vector<std::string> due;
+  for (const auto& [name, server] : fleet.servers) {
+    if (server.starts_at && *server.starts_at <= fleet.now) due.push_back(name);
+  }
+  for (const auto& it : due) RestartServer(fleet, it);
+}
+
 void FinishDue(FleetSimulation& fleet) {
   for (auto& [name, server] : fleet.servers) {
+    CrashIfDue(fleet, server);
     std::vector<ServerRequest> due;
     std::erase_if(server.running, [&](const ServerRequest& it) {
       if (it.ends_at > fleet.now) return false;
@@ -209,6 +258,7 @@
     CollectActions(it);
   }
   DropCancelled(fleet);
+  StartCrashedServers(fleet);
   FinishDue(fleet);
   ArriveDue(fleet, requests_per_second);
   DeliverAll(fleet);
@@ -316,6 +366,18 @@
   }
 }
 
+std::size_t ArriveFrom(FleetSimulation& fleet,
+                       const std::string& caller_address,
+                       const std::string& target) {
+  const std::size_t instance = DrawInstance(fleet);
+  ForwarderFixture& fixture = fleet.instances[instance];
+  const std::string before =
+      std::exchange(fixture.caller_address, caller_address);
+  Arrive(fixture, target);
+  fixture.caller_address = before;
+  return instance;
+}
+
 void PublishServers(FleetSimulation& fleet) {
   std::vector<ServerEntry> entries;
   for (auto& [name, server] : fleet.servers) {
@@ -342,17 +404,7 @@
 void RestartServer(FleetSimulation& fleet, const std::string& name) {
   SimulatedServer& server = fleet.servers.at(name);
   const std::string zone = server.entry.zone.value();
-  const auto running = std::exchange(server.running, {});
-  const auto waiting = std::exchange(server.waiting, {});
-  for (auto& [key, idle] : fleet.idle) {
-    if (key.second == name) idle.clear();
-  }
-  for (const auto& it : running) {
-    FailFrom(fleet, it.instance, it.attempt, AttemptFailure::kConnectionLost);
-  }
-  for (const auto& it : waiting) {
-    FailFrom(fleet, it.instance, it.attempt, AttemptFailure::kConnectionLost);
-  }
+  EndRequests(fleet, server);
   StartServer(fleet, name, zone);
 }
 
--- a/tests/auto/gateway/fleet_simulation.h
+++ b/tests/auto/gateway/fleet_simulation.h
@@ -39,6 +39,8 @@
   TimePoint warm_at;
   /// Named in its answers.
   std::optional<RequestsPerSecond> limit;
+  /// When it starts again after a crash.
+  std::optional<TimePoint> starts_at;
   std::vector<ServerRequest> running;
   std::deque<ServerRequest> waiting;
 };
@@ -47,6 +49,14 @@
   TimePoint at;
   std::string server;
   std::size_t instance = 0;
+  std::string target;
+  std::string caller_address;
+};
+
+/// A request that crashes each server that begins to execute it.
+struct CrashingRequest {
+  std::string target;
+  std::string caller_address;
 };
 
 struct FleetSettings {
@@ -68,6 +78,8 @@
   int idempotent_percent = 0;
   /// Percentage of the requests that have low priority.
   int low_priority_percent = 0;
+  /// Empty: no request crashes servers.
+  CrashingRequest crashing;
   std::uint64_t seed = 1;
 };
 
@@ -88,6 +100,8 @@
   /// Idle connections: when each was last used, by instance and server.
   std::map<std::pair<std::size_t, std::string>, std::vector<TimePoint>> idle;
   std::vector<SentRequest> sent;
+  /// When the crashing request crashed servers.
+  std::vector<TimePoint> crashes;
   /// Requests of low priority, by instance.
   std::set<std::pair<std::size_t, CallId>> low_priority;
   std::size_t connections_opened = 0;
@@ -104,6 +118,12 @@
 /// Runs for `time` with Poisson arrivals at `requests_per_second`.
 void Run(FleetSimulation& fleet, Duration time, double requests_per_second);
 
+/// A request arrives at a random instance that gets requests. Returns the
+/// instance.
+std::size_t ArriveFrom(FleetSimulation& fleet,
+                       const std::string& caller_address,
+                       const std::string& target);
+
 /// Sends the list of servers to all instances; call it after `is_listed` or an
 /// entry was changed.
 void PublishServers(FleetSimulation& fleet);
@@ -127,6 +147,10 @@
 /// Number of requests that were sent to the server.
 std::size_t CountSent(const FleetSimulation& fleet, const std::string& server,
                       TimePoint from, TimePoint to);
+/// Number of requests with this target that were sent on behalf of the caller.
+std::size_t CountSentFor(const FleetSimulation& fleet,
+                         const CrashingRequest& request, TimePoint from,
+                         TimePoint to);
 /// Number of callers' requests that were answered with `status`.
 std::size_t CountAnswers(const FleetSimulation& fleet, int status);
 /// The same for requests of low, or of other priority.
--- a/tests/auto/gateway/forwarder_fixture.cc
+++ b/tests/auto/gateway/forwarder_fixture.cc
@@ -91,6 +91,7 @@
   request.method = "GET";
   request.host = kHost;
   request.target = target;
+  request.caller_address = fixture.caller_address;
   request.timeout = timeout;
   const CallId call = request.call;
   RequestArrived(*fixture.forwarder, std::move(request), fixture.now);
--- a/tests/auto/gateway/forwarder_fixture.h
+++ b/tests/auto/gateway/forwarder_fixture.h
@@ -15,6 +15,8 @@
   ForwarderPtr forwarder;
   TimePoint now;
   std::uint64_t last_call = 0;
+  /// Sender of further requests.
+  std::string caller_address = "10.0.0.1";
   std::vector<SendAttempt> sent;
   std::vector<AttemptId> cancelled;
   std::map<CallId, CallerAnswer> answers;
