Refuse requests during which three servers crashed, at all instances together

A request that crashes each server that runs it came again at other instances, none of which knew of the crashes before: 15 servers crashed in seven seconds, and callers of the job board were refused or failed.

An instance whose connection to a server ends while a request may run there tells all others: a key of the request (method, host, target, caller, body), the server's incarnation, and all losses of that key that it knows, so that one message is enough for an instance that missed others or has just started. After three servers the request is refused at once, with result 2020 and Retry-After; after 60, 120 ... 900 s one instance tries it once. It is no crash if the server answers, or accepts a connection, afterwards; and a request that a server has served is not held responsible for losses in the next 10 s, so that requests in flight beside the crashing one go on. At most 1,000 requests with 16 servers each are remembered, for 5 min, refused ones 30 min. Requests that were lost at a server get no hedge.

--- a/src/libs/base/log_event.cc
+++ b/src/libs/base/log_event.cc
@@ -44,6 +44,12 @@
       return "attempt_failed";
     case LogEvent::kRequestLost:
       return "request_lost";
+    case LogEvent::kRequestRefused:
+      return "request_refused";
+    case LogEvent::kRequestAllowed:
+      return "request_allowed";
+    case LogEvent::kRequestTried:
+      return "request_tried";
     case LogEvent::kServerChosen:
       return "server_chosen";
     case LogEvent::kCallQueued:
--- a/src/libs/base/log_event.h
+++ b/src/libs/base/log_event.h
@@ -23,6 +23,9 @@
   kCallCancelled = 1010,
   kAttemptFailed = 1011,
   kRequestLost = 1012,
+  kRequestRefused = 1013,
+  kRequestAllowed = 1014,
+  kRequestTried = 1015,
 
   kServerChosen = 1101,
   kCallQueued = 1102,
--- a/src/libs/base/result_code.cc
+++ b/src/libs/base/result_code.cc
@@ -54,6 +54,8 @@
       return "the service has no room for the request within its deadline";
     case ResultCode::kServersLimited:
       return "the backend servers named limits that leave no room now";
+    case ResultCode::kRequestCrashesServers:
+      return "backend servers crashed while they ran this request";
     case ResultCode::kOrganisationLimit:
       return "the organisation is over its limit";
     case ResultCode::kDeadlineBeforeDispatch:
--- a/src/libs/base/result_code.h
+++ b/src/libs/base/result_code.h
@@ -33,6 +33,7 @@
   kRequestTooLarge = 2016,
   kServerUnreachable = 2018,
   kServersLimited = 2019,
+  kRequestCrashesServers = 2020,
 
   kDeadlineAfterDispatch = 3001,
   kServerConnectionLost = 3002,
--- a/src/libs/gateway/answers.cc
+++ b/src/libs/gateway/answers.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "libs/gateway/forwarder_state.h"
-#include "libs/gateway/request_key.h"
 
 namespace ibisladder::gateway::Internal {
 namespace {
@@ -168,7 +167,11 @@
     routing::ReportLoad(*service.router, attempt.server, *answer.load,
                         context.now);
   }
-  if (answer.wrong_server) MarkReplaced(context, service, attempt.server);
+  if (answer.wrong_server) {
+    MarkReplaced(context, service, attempt.server);
+  } else {
+    RecordServerContact(context, attempt.server, attempt.sent_at);
+  }
   const AttemptEnd end = ClassifyAnswer(answer);
   RecordLimit(context, service, attempt.server, answer, end);
   CallId call_id;
@@ -177,6 +180,7 @@
   Call& call = forwarder.calls.at(call_id);
   if (end == AttemptEnd::kOk) {
     CancelOthers(context, call);
+    RecordServedCall(context, call_id);
     Finish(context, call_id, ToCallerAnswer(std::move(answer)));
     return;
   }
@@ -187,8 +191,12 @@
   RetryOrFinish(context, call_id, end, server);
 }
 
-void HandleFailure(Context& context, AttemptId id, AttemptFailure failure) {
+void HandleFailure(Context& context, AttemptId id, AttemptFailure failure,
+                   std::optional<TimePoint> opened_at) {
   const AttemptEnd end = EndOf(failure);
+  const auto it = context.forwarder.attempts.find(id);
+  if (it == context.forwarder.attempts.end()) return;
+  const BackendServerId failed_server = it->second.server;
   CallId call_id;
   std::string server = "unlisted server";
   if (!CloseAttempt(context, id, end, call_id, server)) return;
@@ -202,11 +210,8 @@
   const bool is_lost = failure == AttemptFailure::kConnectionLost ||
                        failure == AttemptFailure::kTruncated;
   if (is_lost) {
-    Log(context, LogEvent::kRequestLost,
-        {{"request", call.request->request_id},
-         {"key", FormatKey(KeyOf(*call.request))},
-         {"server", server},
-         {"attempt", std::to_string(call.attempts)}});
+    if (opened_at) RecordServerContact(context, failed_server, *opened_at);
+    RecordLostRequest(context, call_id, failed_server, server);
   }
   RetryOrFinish(context, call_id, end, server);
 }
--- a/src/libs/gateway/forwarder.cc
+++ b/src/libs/gateway/forwarder.cc
@@ -26,6 +26,7 @@
 void EvaluateAll(Context& context) {
   if (context.now - context.forwarder.evaluated_at < kEvaluateInterval) return;
   context.forwarder.evaluated_at = context.now;
+  ForgetOld(context.forwarder.crashes, context.now);
   for (auto& [id, service] : context.forwarder.services) {
     Internal::Evaluate(context, service);
     Internal::ShareDueEvidence(context, id, service);
@@ -141,9 +142,10 @@
 }
 
 void AttemptFailed(Forwarder& forwarder, AttemptId attempt,
-                   AttemptFailure failure, TimePoint now) {
+                   AttemptFailure failure, std::optional<TimePoint> opened_at,
+                   TimePoint now) {
   Context context{forwarder, now};
-  Internal::HandleFailure(context, attempt, failure);
+  Internal::HandleFailure(context, attempt, failure, opened_at);
   PumpQueues(context);
 }
 
@@ -195,6 +197,24 @@
   return Internal::CollectNews(forwarder, now);
 }
 
+void MergeCrashes(Forwarder& forwarder, const CrashMessage& message,
+                  TimePoint now) {
+  Context context{forwarder, now};
+  Internal::MergeCrashMessage(context, message);
+}
+
+CrashMessage KnownCrashes(const Forwarder& forwarder, TimePoint now) {
+  return {RepeatedLosses(forwarder.crashes, now), {}, {}};
+}
+
+std::size_t CountSuspected(const Forwarder& forwarder) {
+  return forwarder.crashes.requests.size();
+}
+
+std::size_t CountRefused(const Forwarder& forwarder, TimePoint now) {
+  return CountRefused(forwarder.crashes, now);
+}
+
 void Tick(Forwarder& forwarder, TimePoint now) {
   Context context{forwarder, now};
   CheckCalls(context);
--- a/src/libs/gateway/forwarder.h
+++ b/src/libs/gateway/forwarder.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -100,8 +101,10 @@
 void CallerLeft(Forwarder& forwarder, CallId call, TimePoint now);
 void AttemptAnswered(Forwarder& forwarder, AttemptId attempt,
                      ServerAnswer answer, TimePoint now);
+/// `opened_at`: when the attempt's connection was opened, if it was.
 void AttemptFailed(Forwarder& forwarder, AttemptId attempt,
-                   AttemptFailure failure, TimePoint now);
+                   AttemptFailure failure, std::optional<TimePoint> opened_at,
+                   TimePoint now);
 void ProbeEnded(Forwarder& forwarder, BackendServerId server, bool ok,
                 TimePoint now);
 /// Applies evidence about servers that another instance has sent.
@@ -117,6 +120,9 @@
 /// Applies another instance's news about the limits of servers.
 void MergeLimits(Forwarder& forwarder, std::span<const LimitNews> news,
                  TimePoint now);
+/// Applies what another instance has seen of requests that crash servers.
+void MergeCrashes(Forwarder& forwarder, const CrashMessage& message,
+                  TimePoint now);
 /// Handles deadlines, queues, hedges and evaluation of servers. Call about
 /// every 20 ms.
 void Tick(Forwarder& forwarder, TimePoint now);
@@ -133,6 +139,13 @@
 std::size_t OpenCalls(const Forwarder& forwarder);
 /// Returns what this instance knows of the limits of servers.
 std::vector<LimitNews> KnownLimits(const Forwarder& forwarder, TimePoint now);
+/// Returns what an instance that has just started needs to know of requests
+/// that crash servers.
+CrashMessage KnownCrashes(const Forwarder& forwarder, TimePoint now);
+/// Returns the numbers of requests that were lost at a server, and of those
+/// that are refused for it.
+std::size_t CountSuspected(const Forwarder& forwarder);
+std::size_t CountRefused(const Forwarder& forwarder, TimePoint now);
 const ForwarderCounters& CountersOf(const Forwarder& forwarder);
 /// Returns the numbers of servers by the name of their service.
 std::map<std::string, routing::ServerCounts> CountServers(
--- a/src/libs/gateway/forwarder_state.h
+++ b/src/libs/gateway/forwarder_state.h
@@ -8,6 +8,7 @@
 
 #include "libs/base/random.h"
 #include "libs/gateway/forwarder.h"
+#include "libs/gateway/request_key.h"
 #include "libs/gateway/route_table.h"
 #include "libs/gateway/server_limits.h"
 
@@ -53,6 +54,8 @@
 /// two if an idempotent request was hedged.
 struct Call {
   CallerRequestPtr request;
+  /// Computed when it is first needed.
+  std::optional<RequestKey> key;
   Route route;
   ServiceId service;
   TimePoint arrived_at;
@@ -120,6 +123,7 @@
   /// Instances that did not reply as keepers, and until when they are not
   /// asked.
   std::map<std::string, TimePoint> silent_keepers;
+  CrashRecords crashes;
   TimePoint evaluated_at;
   std::vector<Action> actions;
   ForwarderCounters counters;
@@ -201,7 +205,8 @@
 // answers.cc
 
 void HandleAnswer(Context& context, AttemptId id, ServerAnswer answer);
-void HandleFailure(Context& context, AttemptId id, AttemptFailure failure);
+void HandleFailure(Context& context, AttemptId id, AttemptFailure failure,
+                   std::optional<TimePoint> opened_at);
 /// Removes an attempt, and reports its end to the detector and the router.
 void EndAttempt(Context& context, AttemptId id, detection::AttemptEnd end);
 
@@ -226,6 +231,29 @@
 void MergeNews(Context& context, std::span<const LimitNews> news);
 std::vector<LimitNews> CollectNews(const Forwarder& forwarder, TimePoint now);
 
+// crashes.cc
+
+/// Records, and tells other instances, that a server's connection ended while
+/// it may have executed the call.
+void RecordLostRequest(Context& context, CallId id, BackendServerId server,
+                       const std::string& server_name);
+/// Records that a server has answered an attempt that was sent at `began_at`,
+/// or accepted a connection then: it has not crashed before.
+void RecordServerContact(Context& context, BackendServerId server,
+                         TimePoint began_at);
+/// Records that a server has served the call.
+void RecordServedCall(Context& context, CallId id);
+/// Returns the refusal of a call whose request crashes servers; none if it may
+/// be sent.
+std::optional<routing::Refused> CrashRefusal(Context& context, CallId id);
+/// Returns whether the call's request was lost at a server that may have
+/// crashed.
+bool MayHaveCrashed(Context& context, CallId id);
+/// Tells other instances if the call, which is about to be sent, is the trial
+/// after a period of refusal.
+void RecordTrialOf(Context& context, CallId id);
+void MergeCrashMessage(Context& context, const CrashMessage& message);
+
 void Log(Context& context, LogEvent event, std::vector<LogField> fields);
 std::string FormatMillis(Duration duration);
 
--- a/src/libs/gateway/messages.h
+++ b/src/libs/gateway/messages.h
@@ -12,6 +12,7 @@
 #include "libs/base/strong_types.h"
 #include "libs/base/time.h"
 #include "libs/detection/detector.h"
+#include "libs/gateway/crash_records.h"
 #include "libs/gateway/server_limits.h"
 #include "libs/net/http_types.h"
 #include "libs/routing/router.h"
@@ -139,9 +140,14 @@
   std::vector<LimitNews> news;
 };
 
-using Action =
-    std::variant<SendAttempt, CancelAttempt, AnswerCaller, SendProbe,
-                 ShareEvidence, AskPermit, AnswerPermit, ShareLimits, LogLine>;
+/// Sends the message to all other instances immediately.
+struct ShareCrashes {
+  CrashMessage message;
+};
+
+using Action = std::variant<SendAttempt, CancelAttempt, AnswerCaller, SendProbe,
+                            ShareEvidence, AskPermit, AnswerPermit, ShareLimits,
+                            ShareCrashes, LogLine>;
 
 }  // namespace ibisladder::gateway
 
--- a/src/libs/gateway/requests.cc
+++ b/src/libs/gateway/requests.cc
@@ -143,6 +143,7 @@
   ServiceState& service = forwarder.services.at(call.service);
   const auto it = service.servers.find(dispatch.server);
   const AttemptId attempt(++forwarder.last_attempt);
+  RecordTrialOf(context, id);
   call.is_queued = false;
   call.denials = 0;
   call.tried.push_back(dispatch.server);
@@ -216,6 +217,10 @@
     GiveUp(context, id, {code, kDefaultRetryAfter});
     return;
   }
+  if (const auto refused = CrashRefusal(context, id)) {
+    GiveUp(context, id, *refused);
+    return;
+  }
   call.is_retry = is_retry;
   call.after_shed = not_executed;
   const auto request = MakeRoutingRequest(call, id, is_retry, not_executed);
@@ -244,6 +249,15 @@
                     const routing::Placement& placement) {
   Call& call = context.forwarder.calls.at(id);
   if (const auto* dispatch = std::get_if<routing::Dispatch>(&placement)) {
+    // It may have been known only since the call was queued.
+    if (const auto crashes = CrashRefusal(context, id)) {
+      call.is_queued = false;
+      routing::CancelDispatch(
+          *context.forwarder.services.at(call.service).router,
+          dispatch->server);
+      GiveUp(context, id, *crashes);
+      return;
+    }
     if (dispatch->needs_permit) {
       AwaitPermit(context, id, *dispatch);
     } else {
@@ -266,7 +280,7 @@
   const bool may_hedge = call.route.repeat == RepeatRule::kIdempotent &&
                          !call.caller_left && call.in_flight.size() == 1 &&
                          call.attempts < call.route.max_attempts;
-  if (!may_hedge) return;
+  if (!may_hedge || MayHaveCrashed(context, id)) return;
   const Attempt& first = forwarder.attempts.at(call.in_flight.front());
   ServiceState& service = forwarder.services.at(call.service);
   const bool is_ejected = detection::StateOf(*service.detector, first.server) ==
--- a/src/plugins/fleet/datagrams.h
+++ b/src/plugins/fleet/datagrams.h
@@ -17,6 +17,7 @@
   kPermitRequest = 'p',
   kPermitReply = 'r',
   kConfigurationVersion = 'v',
+  kCrashes = 'c',
 };
 
 template <typename T>
--- a/src/plugins/fleet/fleet_datagrams.cc
+++ b/src/plugins/fleet/fleet_datagrams.cc
@@ -16,6 +16,7 @@
 constexpr int kFirstLimitsQuestions = 3;
 /// Keeps datagrams below the usual size of packets.
 constexpr std::size_t kMaxLimitsPerDatagram = 40;
+constexpr std::size_t kMaxCrashesPerDatagram = 4;
 /// A watcher tells other zones a new version several times, since datagrams may
 /// be lost.
 constexpr Duration kTellInterval = Millis(250);
@@ -127,6 +128,22 @@
   }
 }
 
+void FleetTask::ShareCrashes(const gateway::CrashMessage& message) {
+  SendToAll(EncodeDatagram(DatagramKind::kCrashes, message));
+}
+
+void FleetTask::SendCrashes(const Endpoint& peer,
+                            const gateway::CrashMessage& message) {
+  const auto& requests = message.requests;
+  for (std::size_t i = 0; i < requests.size(); i += kMaxCrashesPerDatagram) {
+    gateway::CrashMessage part;
+    const std::size_t end =
+        std::min(i + kMaxCrashesPerDatagram, requests.size());
+    for (std::size_t k = i; k < end; ++k) part.requests.push_back(requests[k]);
+    peer_socket_->Send(peer, EncodeDatagram(DatagramKind::kCrashes, part));
+  }
+}
+
 void FleetTask::AskPermit(const gateway::AskPermit& question) {
   const auto it =
       std::ranges::find(members_, question.keeper, &gateway::Member::name);
@@ -163,6 +180,7 @@
   gateway::PermitRequest request;
   gateway::PermitReply reply;
   VersionDatagram version;
+  gateway::CrashMessage crashes;
   if (kind == DatagramKind::kEvidence && wire::DecodePortable(body, evidence)) {
     evidence_received_.emit(evidence.sender, evidence.digests);
   } else if (kind == DatagramKind::kListUpdate &&
@@ -174,6 +192,9 @@
   } else if (kind == DatagramKind::kLimits &&
              wire::DecodePortable(body, limits)) {
     limits_received_.emit(limits);
+  } else if (kind == DatagramKind::kCrashes &&
+             wire::DecodePortable(body, crashes)) {
+    crashes_received_.emit(crashes);
   } else if (kind == DatagramKind::kLimitsQuestion) {
     limits_asked_.emit(datagram.peer);
   } else if (kind == DatagramKind::kPermitRequest &&
--- a/src/plugins/fleet/fleet_task.h
+++ b/src/plugins/fleet/fleet_task.h
@@ -60,6 +60,9 @@
   void ShareLimits(const std::vector<gateway::LimitNews>& news);
   void SendLimits(const Endpoint& peer,
                   const std::vector<gateway::LimitNews>& news);
+  /// Sends the message to all other instances.
+  void ShareCrashes(const gateway::CrashMessage& message);
+  void SendCrashes(const Endpoint& peer, const gateway::CrashMessage& message);
   void AskPermit(const gateway::AskPermit& question);
   void AnswerPermit(const gateway::AnswerPermit& answer);
   /// Ends this instance's registration, which removes it from the other
@@ -105,7 +108,11 @@
   sigc::signal<void(const std::vector<gateway::LimitNews>&)>& signal_limits() {
     return limits_received_;
   }
-  /// Another instance asks for all known limits of servers.
+  sigc::signal<void(const gateway::CrashMessage&)>& signal_crashes() {
+    return crashes_received_;
+  }
+  /// Another instance asks for all known limits of servers, and for requests
+  /// that crash servers.
   sigc::signal<void(const Endpoint&)>& signal_limits_question() {
     return limits_asked_;
   }
@@ -219,6 +226,7 @@
       permit_requested_;
   sigc::signal<void(const gateway::PermitReply&)> permit_replied_;
   sigc::signal<void(const std::vector<gateway::LimitNews>&)> limits_received_;
+  sigc::signal<void(const gateway::CrashMessage&)> crashes_received_;
   sigc::signal<void(const Endpoint&)> limits_asked_;
   sigc::signal<void(const LogLine&)> log_;
 };
--- a/src/plugins/gateway/gateway_metrics.cc
+++ b/src/plugins/gateway/gateway_metrics.cc
@@ -82,6 +82,12 @@
            configuration == nullptr
                ? 0
                : static_cast<double>(configuration->version.value()));
+  AddGauge(families, "gateway_suspected_requests",
+           "Requests that were lost at a server that may have crashed",
+           static_cast<double>(CountSuspected(forwarder)));
+  AddGauge(families, "gateway_refused_requests",
+           "Requests that are refused since servers crashed while running them",
+           static_cast<double>(CountRefused(forwarder, net::MonotonicNow())));
   AddGauge(families, "gateway_open_requests", "Requests without an answer",
            static_cast<double>(OpenCalls(forwarder)));
   AddGauge(families, "gateway_caller_connections",
--- a/src/plugins/gateway/gateway_task.cc
+++ b/src/plugins/gateway/gateway_task.cc
@@ -57,7 +57,9 @@
   });
   servers_.signal_failure().connect([this](const ExchangeFailure& it) {
     LogFailure(it);
-    AttemptFailed(*forwarder_, it.attempt, it.failure, net::MonotonicNow());
+    const TimePoint now = net::MonotonicNow();
+    AttemptFailed(*forwarder_, it.attempt, it.failure, now - it.connection_age,
+                  now);
     PerformActions();
   });
   const auto probe_ended = [this](std::uint64_t id, const auto& is_healthy) {
@@ -118,6 +120,11 @@
   PerformActions();
 }
 
+void GatewayTask::MergeCrashes(const CrashMessage& message) {
+  gateway::MergeCrashes(*forwarder_, message, net::MonotonicNow());
+  PerformActions();
+}
+
 void GatewayTask::PrepareToStop() { callers_->CloseAfterAnswers(); }
 
 void GatewayTask::StopAccepting() {
@@ -193,6 +200,10 @@
   limits_shared_.emit(action.news);
 }
 
+void GatewayTask::Perform(const ShareCrashes& action) {
+  crashes_shared_.emit(action.message);
+}
+
 void GatewayTask::Perform(const LogLine& action) { log_.emit(action); }
 
 }  // namespace ibisladder::gateway
--- a/src/plugins/gateway/gateway_task.h
+++ b/src/plugins/gateway/gateway_task.h
@@ -53,6 +53,7 @@
   void PermitRequested(const Endpoint& peer, const PermitRequest& request);
   void PermitReplied(const PermitReply& reply);
   void MergeLimits(std::span<const LimitNews> news);
+  void MergeCrashes(const CrashMessage& message);
   /// Continues to serve requests, but closes each connection after its answer.
   void PrepareToStop();
   /// Refuses new requests and closes connections without open requests.
@@ -71,6 +72,11 @@
   sigc::signal<void(const std::vector<LimitNews>&)>& signal_limits() {
     return limits_shared_;
   }
+  /// What this instance has seen of requests that crash servers, for all
+  /// others.
+  sigc::signal<void(const CrashMessage&)>& signal_crashes() {
+    return crashes_shared_;
+  }
   sigc::signal<void(const LogLine&)>& signal_log() { return log_; }
 
   const Forwarder& forwarder() const { return *forwarder_; }
@@ -93,6 +99,7 @@
   void Perform(const AskPermit& action);
   void Perform(const AnswerPermit& action);
   void Perform(const ShareLimits& action);
+  void Perform(const ShareCrashes& action);
   void Perform(const LogLine& action);
 
   struct Probe {
@@ -113,6 +120,7 @@
   sigc::signal<void(const AskPermit&)> permit_requested_;
   sigc::signal<void(const AnswerPermit&)> permit_replied_;
   sigc::signal<void(const std::vector<LimitNews>&)> limits_shared_;
+  sigc::signal<void(const CrashMessage&)> crashes_shared_;
   sigc::signal<void(const LogLine&)> log_;
 };
 
--- a/tests/auto/gateway/crashing_requests_test.cc
+++ b/tests/auto/gateway/crashing_requests_test.cc
@@ -61,9 +61,36 @@
                          n <= kAllowedSends);
 }
 
+struct Outcomes {
+  std::size_t served = 0;
+  /// Told that the request crashes servers.
+  std::size_t refused = 0;
+  std::size_t all = 0;
+};
+
+Outcomes OutcomesOf(const FleetSimulation& fleet,
+                    const std::vector<ArrivedCall>& calls) {
+  Outcomes outcomes;
+  for (const ArrivedCall& it : calls) {
+    const auto& answers = fleet.instances[it.instance].answers;
+    const auto answer = answers.find(it.call);
+    if (answer == answers.end()) continue;
+    ++outcomes.all;
+    outcomes.served += answer->second.status == 200 ? 1 : 0;
+    outcomes.refused +=
+        answer->second.code == ResultCode::kRequestCrashesServers ? 1 : 0;
+  }
+  return outcomes;
+}
+
 class CrashingRequestsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CrashingRequestsTest);
   CPPUNIT_TEST(AllInstancesTogetherStopSendingARequestThatCrashesServers);
+  CPPUNIT_TEST(StrangersWithTheSameTargetAreServed);
+  CPPUNIT_TEST(KnowledgeSurvivesRestartsOfInstances);
+  CPPUNIT_TEST(RepeatedRequestsBesideCrashesAreServed);
+  CPPUNIT_TEST(LostConnectionsOfLivingServersAreNoCrashes);
+  CPPUNIT_TEST(RefusedRequestIsTriedLater);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -76,6 +103,87 @@
       });
     }
   }
+
+  void StrangersWithTheSameTargetAreServed() {
+    FleetSimulation fleet = MakeFleet(SettingsOf(kSizes[1]));
+    RunWithCrashes(fleet, Seconds(8));
+    std::vector<ArrivedCall> strangers;
+    for (int i = 0; i < 80; ++i) {
+      strangers.push_back(ArriveFrom(fleet, kStranger, kCrashing.target));
+      RunWithCrashes(fleet, Millis(120));
+    }
+    const Outcomes outcomes = OutcomesOf(fleet, strangers);
+    CPPUNIT_ASSERT(outcomes.all > 70);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, outcomes.refused);
+    CPPUNIT_ASSERT(outcomes.served * 10 >= outcomes.all * 9);
+  }
+
+  void KnowledgeSurvivesRestartsOfInstances() {
+    FleetSimulation fleet = MakeFleet(SettingsOf(kSizes[0]));
+    for (int i = 0; i < 24; ++i) {
+      RunWithCrashes(fleet, Seconds(1));
+      RestartInstance(fleet, i % fleet.instances.size());
+    }
+    ExpectFewSends(fleet);
+  }
+
+  /// The caller repeats a harmless request as often as the crashing one comes,
+  /// so that servers often crash while they run it.
+  void RepeatedRequestsBesideCrashesAreServed() {
+    FleetSimulation fleet = MakeFleet(SettingsOf(kSizes[0]));
+    std::vector<ArrivedCall> polls;
+    for (int i = 0; i < 200; ++i) {
+      polls.push_back(ArriveFrom(fleet, kStranger, "/read/board"));
+      RunWithCrashes(fleet, Millis(120));
+    }
+    const Outcomes outcomes = OutcomesOf(fleet, polls);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, outcomes.refused);
+  }
+
+  void LostConnectionsOfLivingServersAreNoCrashes() {
+    FleetSettings settings = SettingsOf(kSizes[0]);
+    settings.crashing = {};
+    FleetSimulation fleet = MakeFleet(settings);
+    const auto poll = [&](Duration time) {
+      std::vector<ArrivedCall> calls;
+      for (Duration passed{}; passed < time; passed += Millis(100)) {
+        calls.push_back(ArriveFrom(fleet, kStranger, "/read/board"));
+        Run(fleet, Millis(100), kBackgroundPerSecond);
+      }
+      return OutcomesOf(fleet, calls);
+    };
+    poll(Seconds(2));
+    for (auto& [name, server] : fleet.servers)
+      server.mode = ServerMode::kLosesRequests;
+    poll(Millis(500));
+    for (auto& [name, server] : fleet.servers)
+      server.mode = ServerMode::kHealthy;
+    Run(fleet, Seconds(8), kBackgroundPerSecond);
+    const Outcomes outcomes = poll(Seconds(4));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, outcomes.refused);
+    CPPUNIT_ASSERT(outcomes.served * 10 >= outcomes.all * 9);
+  }
+
+  void RefusedRequestIsTriedLater() {
+    FleetSimulation fleet = MakeFleet(SettingsOf(kSizes[0]));
+    RunWithCrashes(fleet, Seconds(5));
+    const std::size_t crashes = fleet.crashes.size();
+    Section("one trial after a minute, which crashes a server", [&] {
+      RunWithCrashes(fleet, Seconds(70));
+      CPPUNIT_ASSERT_EQUAL(crashes + 1, fleet.crashes.size());
+    });
+    Section("once servers are mended, the next one allows it again", [&] {
+      fleet.settings.crashing = {};
+      for (int i = 0; i < 1200; ++i) {
+        ArriveFrom(fleet, kCrashing.caller_address, kCrashing.target);
+        Run(fleet, Millis(100), kBackgroundPerSecond);
+      }
+      const ArrivedCall last =
+          ArriveFrom(fleet, kCrashing.caller_address, kCrashing.target);
+      Run(fleet, Seconds(1), kBackgroundPerSecond);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, OutcomesOf(fleet, {last}).served);
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashingRequestsTest);
--- a/tests/auto/gateway/fleet_exchange.cc
+++ b/tests/auto/gateway/fleet_exchange.cc
@@ -61,6 +61,18 @@
   }
 }
 
+void ExchangeCrashes(FleetSimulation& fleet) {
+  for (std::size_t from = 0; from < fleet.instances.size(); ++from) {
+    for (const auto& it : std::exchange(fleet.instances[from].crashes, {})) {
+      for (std::size_t to = 0; to < fleet.instances.size(); ++to) {
+        if (to == from || !AreConnected(fleet, from, to)) continue;
+        MergeCrashes(*fleet.instances[to].forwarder, it, fleet.now);
+        CollectActions(fleet.instances[to]);
+      }
+    }
+  }
+}
+
 void ExchangeLimits(FleetSimulation& fleet) {
   for (std::size_t from = 0; from < fleet.instances.size(); ++from) {
     const auto news = std::exchange(fleet.instances[from].limits, {});
--- a/tests/auto/gateway/fleet_exchange.h
+++ b/tests/auto/gateway/fleet_exchange.h
@@ -14,6 +14,7 @@
 bool ExchangePermits(FleetSimulation& fleet);
 void ExchangeEvidence(FleetSimulation& fleet);
 void ExchangeLimits(FleetSimulation& fleet);
+void ExchangeCrashes(FleetSimulation& fleet);
 
 }  // namespace ibisladder::gateway
 
--- a/tests/auto/gateway/fleet_simulation.cc
+++ b/tests/auto/gateway/fleet_simulation.cc
@@ -99,8 +99,9 @@
 }
 
 void FailFrom(FleetSimulation& fleet, std::size_t instance,
-              const SendAttempt& attempt, AttemptFailure failure) {
-  Fail(fleet.instances[instance], attempt, failure);
+              const SendAttempt& attempt, AttemptFailure failure,
+              std::optional<TimePoint> opened_at = std::nullopt) {
+  Fail(fleet.instances[instance], attempt, failure, opened_at);
 }
 
 void Deliver(FleetSimulation& fleet, std::size_t instance,
@@ -120,7 +121,8 @@
       AnswerFrom(fleet, server, request, 500, false);
       break;
     case ServerMode::kLosesRequests:
-      FailFrom(fleet, instance, attempt, AttemptFailure::kConnectionLost);
+      FailFrom(fleet, instance, attempt, AttemptFailure::kConnectionLost,
+               fleet.now);
       break;
     case ServerMode::kAnswersNothing:
     case ServerMode::kRefuses:
@@ -264,6 +266,7 @@
   DeliverAll(fleet);
   ExchangeEvidence(fleet);
   ExchangeLimits(fleet);
+  ExchangeCrashes(fleet);
 }
 
 ConfigurationPtr MakeConfiguration(const FleetSettings& settings) {
@@ -366,16 +369,16 @@
   }
 }
 
-std::size_t ArriveFrom(FleetSimulation& fleet,
+ArrivedCall ArriveFrom(FleetSimulation& fleet,
                        const std::string& caller_address,
                        const std::string& target) {
   const std::size_t instance = DrawInstance(fleet);
   ForwarderFixture& fixture = fleet.instances[instance];
   const std::string before =
       std::exchange(fixture.caller_address, caller_address);
-  Arrive(fixture, target);
+  const CallId call = Arrive(fixture, target);
   fixture.caller_address = before;
-  return instance;
+  return {instance, call};
 }
 
 void PublishServers(FleetSimulation& fleet) {
@@ -422,12 +425,15 @@
   fixture.answers = std::move(fleet.instances[instance].answers);
   fleet.instances[instance] = std::move(fixture);
   PublishServers(fleet);
-  // Like a real one, it asks another instance for the limits that it knows.
+  // Like a real one, it asks another instance for what it knows.
   const std::size_t other = (instance + 1) % fleet.instances.size();
   if (!AreConnected(fleet, instance, other)) return;
   MergeLimits(*fleet.instances[instance].forwarder,
               KnownLimits(*fleet.instances[other].forwarder, fleet.now),
               fleet.now);
+  MergeCrashes(*fleet.instances[instance].forwarder,
+               KnownCrashes(*fleet.instances[other].forwarder, fleet.now),
+               fleet.now);
   CollectActions(fleet.instances[instance]);
 }
 
--- a/tests/auto/gateway/fleet_simulation.h
+++ b/tests/auto/gateway/fleet_simulation.h
@@ -118,9 +118,14 @@
 /// Runs for `time` with Poisson arrivals at `requests_per_second`.
 void Run(FleetSimulation& fleet, Duration time, double requests_per_second);
 
-/// A request arrives at a random instance that gets requests. Returns the
-/// instance.
-std::size_t ArriveFrom(FleetSimulation& fleet,
+/// A request at the instance where it arrived.
+struct ArrivedCall {
+  std::size_t instance = 0;
+  CallId call;
+};
+
+/// A request arrives at a random instance that gets requests.
+ArrivedCall ArriveFrom(FleetSimulation& fleet,
                        const std::string& caller_address,
                        const std::string& target);
 
--- a/tests/auto/gateway/forwarder_fixture.cc
+++ b/tests/auto/gateway/forwarder_fixture.cc
@@ -36,6 +36,9 @@
   void operator()(const ShareLimits& it) const {
     fixture.limits.insert(fixture.limits.end(), it.news.begin(), it.news.end());
   }
+  void operator()(const ShareCrashes& it) const {
+    fixture.crashes.push_back(it.message);
+  }
   void operator()(const LogLine& it) const { fixture.log.push_back(it); }
 };
 
@@ -144,8 +147,9 @@
 }
 
 void Fail(ForwarderFixture& fixture, const SendAttempt& attempt,
-          AttemptFailure failure) {
-  AttemptFailed(*fixture.forwarder, attempt.attempt, failure, fixture.now);
+          AttemptFailure failure, std::optional<TimePoint> opened_at) {
+  AttemptFailed(*fixture.forwarder, attempt.attempt, failure, opened_at,
+                fixture.now);
   CollectActions(fixture);
 }
 
--- a/tests/auto/gateway/forwarder_fixture.h
+++ b/tests/auto/gateway/forwarder_fixture.h
@@ -24,6 +24,7 @@
   std::vector<AskPermit> permit_requests;
   std::vector<AnswerPermit> permit_replies;
   std::vector<LimitNews> limits;
+  std::vector<CrashMessage> crashes;
   std::vector<LogLine> log;
 };
 
@@ -52,7 +53,8 @@
 /// Answers that the server did not execute the request.
 void Decline(ForwarderFixture& fixture, const SendAttempt& attempt);
 void Fail(ForwarderFixture& fixture, const SendAttempt& attempt,
-          AttemptFailure failure);
+          AttemptFailure failure,
+          std::optional<TimePoint> opened_at = std::nullopt);
 
 }  // namespace ibisladder::gateway
 
