Obey servers that say in their answers that they leave or want a pause

A server that leaves gets no new request from the instance at once, and the others are told, also one that asks after its start; a pause holds for the instance that was told, which alone it is meant for. Both belong to the incarnation, so that a new start under the same name or address is used at once, and survive that its entry lapses for a while. Other values than 1, dates, negative, huge and unreadable times mean nothing and are logged once a server (E1110).

--- a/src/libs/base/log_event.cc
+++ b/src/libs/base/log_event.cc
@@ -66,6 +66,10 @@
       return "server_limit_invalid";
     case LogEvent::kPermitDenied:
       return "permit_denied";
+    case LogEvent::kServerPaused:
+      return "server_paused";
+    case LogEvent::kServerNoticeInvalid:
+      return "server_notice_invalid";
     case LogEvent::kServerEjected:
       return "server_ejected";
     case LogEvent::kServerRestored:
--- a/src/libs/base/log_event.h
+++ b/src/libs/base/log_event.h
@@ -35,6 +35,8 @@
   kServerLimitChanged = 1106,
   kServerLimitInvalid = 1107,
   kPermitDenied = 1108,
+  kServerPaused = 1109,
+  kServerNoticeInvalid = 1110,
 
   kServerEjected = 1201,
   kServerRestored = 1202,
--- a/src/libs/gateway/answers.cc
+++ b/src/libs/gateway/answers.cc
@@ -174,6 +174,7 @@
   }
   const AttemptEnd end = ClassifyAnswer(answer);
   RecordLimit(context, service, attempt.server, answer, end);
+  RecordNotices(context, attempt.server, answer);
   CallId call_id;
   std::string server = "unlisted server";
   if (!CloseAttempt(context, id, end, call_id, server)) return;
--- a/src/libs/gateway/forwarder.cc
+++ b/src/libs/gateway/forwarder.cc
@@ -25,6 +25,7 @@
 
 void EvaluateAll(Context& context) {
   if (context.now - context.forwarder.evaluated_at < kEvaluateInterval) return;
+  Internal::UpdateNotices(context, context.forwarder.evaluated_at);
   context.forwarder.evaluated_at = context.now;
   ForgetOld(context.forwarder.crashes, context.now);
   for (auto& [id, service] : context.forwarder.services) {
@@ -207,6 +208,17 @@
   return {RepeatedLosses(forwarder.crashes, now), {}, {}};
 }
 
+void MergeLeaving(Forwarder& forwarder,
+                  std::span<const BackendServerId> servers, TimePoint now) {
+  Context context{forwarder, now};
+  Internal::MergeLeavingServers(context, servers);
+  PumpQueues(context);
+}
+
+std::vector<BackendServerId> KnownLeaving(const Forwarder& forwarder) {
+  return Internal::CollectLeaving(forwarder);
+}
+
 std::size_t CountSuspected(const Forwarder& forwarder) {
   return forwarder.crashes.requests.size();
 }
--- a/src/libs/gateway/forwarder.h
+++ b/src/libs/gateway/forwarder.h
@@ -123,6 +123,9 @@
 /// Applies what another instance has seen of requests that crash servers.
 void MergeCrashes(Forwarder& forwarder, const CrashMessage& message,
                   TimePoint now);
+/// Another instance tells that these servers leave.
+void MergeLeaving(Forwarder& forwarder,
+                  std::span<const BackendServerId> servers, TimePoint now);
 /// Handles deadlines, queues, hedges and evaluation of servers. Call about
 /// every 20 ms.
 void Tick(Forwarder& forwarder, TimePoint now);
@@ -142,6 +145,8 @@
 /// Returns what an instance that has just started needs to know of requests
 /// that crash servers.
 CrashMessage KnownCrashes(const Forwarder& forwarder, TimePoint now);
+/// Returns the servers that have told some instance that they leave.
+std::vector<BackendServerId> KnownLeaving(const Forwarder& forwarder);
 /// Returns the numbers of requests that were lost at a server, and of those
 /// that are refused for it.
 std::size_t CountSuspected(const Forwarder& forwarder);
--- a/src/libs/gateway/forwarder_state.h
+++ b/src/libs/gateway/forwarder_state.h
@@ -32,6 +32,17 @@
   std::string unreadable_limit;
 };
 
+/// What a server has asked for in its answers.
+struct ServerNotice {
+  /// It leaves and gets no new requests.
+  bool is_leaving = false;
+  /// It wants no requests of this instance until then.
+  TimePoint paused_until;
+  TimePoint noted_at;
+  /// Text of the last notice that could not be read.
+  std::string unreadable;
+};
+
 struct ServiceState {
   declarations::Service settings;
   /// Whether the installed configuration contains the service.
@@ -124,6 +135,9 @@
   /// asked.
   std::map<std::string, TimePoint> silent_keepers;
   CrashRecords crashes;
+  /// By incarnation, so that a server that returns under the same name or
+  /// address starts without.
+  std::unordered_map<BackendServerId, Internal::ServerNotice> notices;
   TimePoint evaluated_at;
   std::vector<Action> actions;
   ForwarderCounters counters;
@@ -231,6 +245,26 @@
 void MergeNews(Context& context, std::span<const LimitNews> news);
 std::vector<LimitNews> CollectNews(const Forwarder& forwarder, TimePoint now);
 
+/// Passes the servers and their slots to the service's detector.
+void SetDetectorServers(Context& context, ServiceState& service);
+
+// notices.cc
+
+/// Records what a server's answer asks for: no new requests, or none for a
+/// while.
+void RecordNotices(Context& context, BackendServerId server,
+                   const ServerAnswer& answer);
+/// Records servers that leave, as other instances tell.
+void MergeLeavingServers(Context& context,
+                         std::span<const BackendServerId> servers);
+std::vector<BackendServerId> CollectLeaving(const Forwarder& forwarder);
+bool IsLeaving(const Forwarder& forwarder, BackendServerId server);
+bool IsPaused(const Forwarder& forwarder, BackendServerId server,
+              TimePoint now);
+/// Forgets old notices, and lets servers get requests again whose pause has
+/// ended since the last update.
+void UpdateNotices(Context& context, TimePoint last_update);
+
 // crashes.cc
 
 /// Records, and tells other instances, that a server's connection ended while
--- a/src/libs/gateway/limits.cc
+++ b/src/libs/gateway/limits.cc
@@ -217,9 +217,10 @@
   ++forwarder.counters.permits["granted"];
   const ServiceState& service = forwarder.services.at(wait->service);
   const auto server = service.servers.find(wait->dispatch.server);
-  const bool is_usable = server != service.servers.end() &&
-                         !server->second.entry.draining &&
-                         !server->second.replaced;
+  const bool is_usable =
+      server != service.servers.end() && !server->second.entry.draining &&
+      !server->second.replaced && !IsLeaving(forwarder, server->first) &&
+      !IsPaused(forwarder, server->first, context.now);
   if (is_usable) {
     Send(context, wait->call, wait->dispatch);
     return;
--- a/src/libs/gateway/messages.h
+++ b/src/libs/gateway/messages.h
@@ -66,6 +66,13 @@
   std::optional<RequestsPerSecond> limit;
   /// Text of a limit that cannot be read; empty without one.
   std::string unreadable_limit;
+  /// The server leaves and wants no new requests.
+  bool is_leaving = false;
+  /// The server turned the request away and wants none from this instance for
+  /// so long.
+  std::optional<Duration> pause;
+  /// Text of a statement about leaving or a pause that cannot be read.
+  std::string unreadable_notice;
 };
 
 /// Why an attempt ended without a complete answer.
@@ -145,9 +152,14 @@
   CrashMessage message;
 };
 
+/// Tells all other instances that the servers leave.
+struct ShareLeaving {
+  std::vector<BackendServerId> servers;
+};
+
 using Action = std::variant<SendAttempt, CancelAttempt, AnswerCaller, SendProbe,
                             ShareEvidence, AskPermit, AnswerPermit, ShareLimits,
-                            ShareCrashes, LogLine>;
+                            ShareCrashes, ShareLeaving, LogLine>;
 
 }  // namespace ibisladder::gateway
 
--- a/src/libs/gateway/services.cc
+++ b/src/libs/gateway/services.cc
@@ -145,8 +145,9 @@
   return ServiceConfig{}.max_connections;
 }
 
-bool IsClosed(const KnownServer& server) {
-  return server.entry.draining || server.replaced;
+bool IsClosed(const Forwarder& forwarder, BackendServerId id,
+              const KnownServer& server) {
+  return server.entry.draining || server.replaced || IsLeaving(forwarder, id);
 }
 
 std::string NameOf(const ServiceState& service, BackendServerId id) {
@@ -187,16 +188,17 @@
   }
 }
 
+}  // namespace
+
 void SetDetectorServers(Context& context, ServiceState& service) {
   std::vector<detection::Member> members;
   for (const auto& [id, server] : service.servers) {
-    members.push_back({id, server.entry.slots, IsClosed(server)});
+    members.push_back(
+        {id, server.entry.slots, IsClosed(context.forwarder, id, server)});
   }
   detection::SetMembers(*service.detector, members, context.now);
 }
 
-}  // namespace
-
 void RefreshRouter(Context& context, ServiceState& service) {
   const Forwarder& forwarder = context.forwarder;
   const std::uint16_t connections = MaxConnections(forwarder, service);
@@ -209,7 +211,8 @@
     it.max_connections = connections;
     it.state = detection::StateOf(*service.detector, id);
     it.fails_fast = detection::FailsFast(*service.detector, id);
-    it.closed = IsClosed(server);
+    it.closed =
+        IsClosed(forwarder, id, server) || IsPaused(forwarder, id, context.now);
     it.warm_since = server.warm_since;
     candidates.push_back(std::move(it));
   }
@@ -297,6 +300,7 @@
     const auto it = service.servers.find(id);
     // Probes would need permits, too; requests show its health.
     if (it == service.servers.end() || it->second.limit.limit) continue;
+    if (IsPaused(context.forwarder, id, context.now)) continue;
     const ServerEntry& entry = it->second.entry;
     context.forwarder.actions.emplace_back(SendProbe{
         id, entry.endpoint, entry.name, service.settings.health_path});
--- a/src/plugins/fleet/datagrams.h
+++ b/src/plugins/fleet/datagrams.h
@@ -18,6 +18,7 @@
   kPermitReply = 'r',
   kConfigurationVersion = 'v',
   kCrashes = 'c',
+  kLeavingServers = 'd',
 };
 
 template <typename T>
--- a/src/plugins/fleet/fleet_datagrams.cc
+++ b/src/plugins/fleet/fleet_datagrams.cc
@@ -17,6 +17,7 @@
 /// Keeps datagrams below the usual size of packets.
 constexpr std::size_t kMaxLimitsPerDatagram = 40;
 constexpr std::size_t kMaxCrashesPerDatagram = 4;
+constexpr std::size_t kMaxLeavingPerDatagram = 100;
 /// A watcher tells other zones a new version several times, since datagrams may
 /// be lost.
 constexpr Duration kTellInterval = Millis(250);
@@ -144,6 +145,22 @@
   }
 }
 
+void FleetTask::ShareLeaving(const std::vector<BackendServerId>& servers) {
+  SendToAll(EncodeDatagram(DatagramKind::kLeavingServers, servers));
+}
+
+void FleetTask::SendLeaving(const Endpoint& peer,
+                            const std::vector<BackendServerId>& servers) {
+  for (std::size_t i = 0; i < servers.size(); i += kMaxLeavingPerDatagram) {
+    const std::size_t end =
+        std::min(i + kMaxLeavingPerDatagram, servers.size());
+    std::vector<BackendServerId> part;
+    for (std::size_t k = i; k < end; ++k) part.push_back(servers[k]);
+    peer_socket_->Send(peer,
+                       EncodeDatagram(DatagramKind::kLeavingServers, part));
+  }
+}
+
 void FleetTask::AskPermit(const gateway::AskPermit& question) {
   const auto it =
       std::ranges::find(members_, question.keeper, &gateway::Member::name);
@@ -181,6 +198,7 @@
   gateway::PermitReply reply;
   VersionDatagram version;
   gateway::CrashMessage crashes;
+  std::vector<BackendServerId> leaving;
   if (kind == DatagramKind::kEvidence && wire::DecodePortable(body, evidence)) {
     evidence_received_.emit(evidence.sender, evidence.digests);
   } else if (kind == DatagramKind::kListUpdate &&
@@ -195,6 +213,9 @@
   } else if (kind == DatagramKind::kCrashes &&
              wire::DecodePortable(body, crashes)) {
     crashes_received_.emit(crashes);
+  } else if (kind == DatagramKind::kLeavingServers &&
+             wire::DecodePortable(body, leaving)) {
+    leaving_received_.emit(leaving);
   } else if (kind == DatagramKind::kLimitsQuestion) {
     limits_asked_.emit(datagram.peer);
   } else if (kind == DatagramKind::kPermitRequest &&
--- a/src/plugins/fleet/fleet_task.h
+++ b/src/plugins/fleet/fleet_task.h
@@ -63,6 +63,10 @@
   /// Sends the message to all other instances.
   void ShareCrashes(const gateway::CrashMessage& message);
   void SendCrashes(const Endpoint& peer, const gateway::CrashMessage& message);
+  /// Sends the servers to all other instances.
+  void ShareLeaving(const std::vector<BackendServerId>& servers);
+  void SendLeaving(const Endpoint& peer,
+                   const std::vector<BackendServerId>& servers);
   void AskPermit(const gateway::AskPermit& question);
   void AnswerPermit(const gateway::AnswerPermit& answer);
   /// Ends this instance's registration, which removes it from the other
@@ -111,8 +115,11 @@
   sigc::signal<void(const gateway::CrashMessage&)>& signal_crashes() {
     return crashes_received_;
   }
-  /// Another instance asks for all known limits of servers, and for requests
-  /// that crash servers.
+  sigc::signal<void(const std::vector<BackendServerId>&)>& signal_leaving() {
+    return leaving_received_;
+  }
+  /// Another instance asks for all known limits of servers, for requests that
+  /// crash servers and for servers that leave.
   sigc::signal<void(const Endpoint&)>& signal_limits_question() {
     return limits_asked_;
   }
@@ -227,6 +234,7 @@
   sigc::signal<void(const gateway::PermitReply&)> permit_replied_;
   sigc::signal<void(const std::vector<gateway::LimitNews>&)> limits_received_;
   sigc::signal<void(const gateway::CrashMessage&)> crashes_received_;
+  sigc::signal<void(const std::vector<BackendServerId>&)> leaving_received_;
   sigc::signal<void(const Endpoint&)> limits_asked_;
   sigc::signal<void(const LogLine&)> log_;
 };
--- a/src/plugins/gateway/gateway_task.cc
+++ b/src/plugins/gateway/gateway_task.cc
@@ -125,6 +125,11 @@
   PerformActions();
 }
 
+void GatewayTask::MergeLeaving(std::span<const BackendServerId> servers) {
+  gateway::MergeLeaving(*forwarder_, servers, net::MonotonicNow());
+  PerformActions();
+}
+
 void GatewayTask::PrepareToStop() { callers_->CloseAfterAnswers(); }
 
 void GatewayTask::StopAccepting() {
@@ -204,6 +209,10 @@
   crashes_shared_.emit(action.message);
 }
 
+void GatewayTask::Perform(const ShareLeaving& action) {
+  leaving_shared_.emit(action.servers);
+}
+
 void GatewayTask::Perform(const LogLine& action) { log_.emit(action); }
 
 }  // namespace ibisladder::gateway
--- a/src/plugins/gateway/gateway_task.h
+++ b/src/plugins/gateway/gateway_task.h
@@ -54,6 +54,7 @@
   void PermitReplied(const PermitReply& reply);
   void MergeLimits(std::span<const LimitNews> news);
   void MergeCrashes(const CrashMessage& message);
+  void MergeLeaving(std::span<const BackendServerId> servers);
   /// Continues to serve requests, but closes each connection after its answer.
   void PrepareToStop();
   /// Refuses new requests and closes connections without open requests.
@@ -77,6 +78,10 @@
   sigc::signal<void(const CrashMessage&)>& signal_crashes() {
     return crashes_shared_;
   }
+  /// Servers that leave, for all other instances.
+  sigc::signal<void(const std::vector<BackendServerId>&)>& signal_leaving() {
+    return leaving_shared_;
+  }
   sigc::signal<void(const LogLine&)>& signal_log() { return log_; }
 
   const Forwarder& forwarder() const { return *forwarder_; }
@@ -100,6 +105,7 @@
   void Perform(const AnswerPermit& action);
   void Perform(const ShareLimits& action);
   void Perform(const ShareCrashes& action);
+  void Perform(const ShareLeaving& action);
   void Perform(const LogLine& action);
 
   struct Probe {
@@ -121,6 +127,7 @@
   sigc::signal<void(const AnswerPermit&)> permit_replied_;
   sigc::signal<void(const std::vector<LimitNews>&)> limits_shared_;
   sigc::signal<void(const CrashMessage&)> crashes_shared_;
+  sigc::signal<void(const std::vector<BackendServerId>&)> leaving_shared_;
   sigc::signal<void(const LogLine&)> log_;
 };
 
--- a/tests/auto/gateway/forwarder_fixture.cc
+++ b/tests/auto/gateway/forwarder_fixture.cc
@@ -39,6 +39,10 @@
   void operator()(const ShareCrashes& it) const {
     fixture.crashes.push_back(it.message);
   }
+  void operator()(const ShareLeaving& it) const {
+    fixture.leaving.insert(fixture.leaving.end(), it.servers.begin(),
+                           it.servers.end());
+  }
   void operator()(const LogLine& it) const { fixture.log.push_back(it); }
 };
 
--- a/tests/auto/gateway/forwarder_fixture.h
+++ b/tests/auto/gateway/forwarder_fixture.h
@@ -25,6 +25,7 @@
   std::vector<AnswerPermit> permit_replies;
   std::vector<LimitNews> limits;
   std::vector<CrashMessage> crashes;
+  std::vector<BackendServerId> leaving;
   std::vector<LogLine> log;
 };
 
--- a/tests/auto/platform/message_codec_test.cc
+++ b/tests/auto/platform/message_codec_test.cc
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(AnswersAreDecoded);
   CPPUNIT_TEST(RejectionsHaveRetryAfter);
   CPPUNIT_TEST(LimitsAreDecoded);
+  CPPUNIT_TEST(NoticesAreDecoded);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -94,6 +95,51 @@
     });
   }
 
+  /// Guards against values that stop all requests to a server for ever, or
+  /// crash the process.
+  void NoticesAreDecoded() {
+    const auto codec = MakeMessageCodec();
+    const auto decode = [&](int status, const net::Headers& headers) {
+      return codec.decode_answer({status, headers, ""});
+    };
+    Section("both at once, in any case of letters", [&] {
+      const auto answer =
+          decode(503, {{"server-leaving", "1"}, {"RETRY-AFTER", "2.5"}});
+      CPPUNIT_ASSERT(answer.is_leaving);
+      CPPUNIT_ASSERT(answer.pause == Millis(2500));
+      CPPUNIT_ASSERT(answer.unreadable_notice.empty());
+    });
+    Section("other values of the first mean nothing, and are logged", [&] {
+      for (const char* text : {"", "0", "true", "2", "1, 1", "01"}) {
+        const auto answer = decode(200, {{"Server-Leaving", text}});
+        CPPUNIT_ASSERT_MESSAGE(text, !answer.is_leaving);
+        CPPUNIT_ASSERT_MESSAGE(text, !answer.unreadable_notice.empty());
+      }
+    });
+    Section("so do times that are no plain seconds", [&] {
+      for (const char* text : {"", "-1", "nan", "inf", "1e3", "99999999", "5 s",
+                               "Fri, 04 Dec 2026 12:00:00 GMT"}) {
+        const auto answer = decode(503, {{"Retry-After", text}});
+        CPPUNIT_ASSERT_MESSAGE(text, !answer.pause);
+        CPPUNIT_ASSERT_MESSAGE(text, !answer.unreadable_notice.empty());
+      }
+    });
+    Section("a long text is cut", [&] {
+      const auto answer =
+          decode(503, {{"Retry-After", std::string(9999, 'x')}});
+      CPPUNIT_ASSERT(answer.unreadable_notice.size() <= 64);
+    });
+    Section("of two times the longer one counts", [&] {
+      const auto answer =
+          decode(503, {{"Retry-After", "3"}, {"Retry-After", "1"}});
+      CPPUNIT_ASSERT(answer.pause == Seconds(3));
+    });
+    Section("with another status it is not for instances", [&] {
+      CPPUNIT_ASSERT(!decode(429, {{"Retry-After", "3"}}).pause);
+      CPPUNIT_ASSERT(!decode(200, {{"Retry-After", "3"}}).pause);
+    });
+  }
+
   void AnswersAreDecoded() {
     const auto codec = MakeMessageCodec();
     Section("a signed answer with its load", [&] {
