Keep refused requests when others fill the records, and bound who tells a watcher

Found when reading the change: 1,000 other losses could drive a refused request out of the records, which would cost three more crashes; those that are not refused go first now (RecordsAreBoundedInNumberAndAge fails without it). Of a zone about four instances answer the update of a watcher that is behind, not all of them. A count from another instance is clamped.

--- a/src/libs/gateway/crash_records.cc
+++ b/src/libs/gateway/crash_records.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace ibisladder::gateway {
 namespace {
@@ -45,11 +46,14 @@
   return std::min(kFirstRefusal * (1U << doublings), kMaxRefusal);
 }
 
-void EraseOldestRequest(CrashRecords& records) {
-  const auto oldest = std::ranges::min_element(
-      records.requests, {},
-      [](const auto& it) { return it.second.last_loss_at; });
-  if (oldest != records.requests.end()) records.requests.erase(oldest);
+/// Makes room for one record. Refused requests are kept as long as there are
+/// others.
+void MakeRoom(CrashRecords& records) {
+  if (records.requests.size() < kMaxRequests) return;
+  records.requests.erase(
+      std::ranges::min_element(records.requests, {}, [](const auto& it) {
+        return std::pair(IsRefusable(it.second), it.second.last_loss_at);
+      }));
 }
 
 /// Forgets the losses for all callers that the refused request of one caller
@@ -106,10 +110,7 @@
 
 bool RecordLoss(CrashRecords& records, RequestKey key, BackendServerId server,
                 TimePoint lost_at) {
-  if (!records.requests.contains(key) &&
-      records.requests.size() >= kMaxRequests) {
-    EraseOldestRequest(records);
-  }
+  if (!records.requests.contains(key)) MakeRoom(records);
   CrashRecord& record = records.requests[key];
   if (IsHarmless(record, lost_at) || record.explained.contains(server))
     return false;
@@ -147,10 +148,7 @@
 }
 
 bool RecordServed(CrashRecords& records, RequestKey key, TimePoint now) {
-  if (!records.requests.contains(key) &&
-      records.requests.size() >= kMaxRequests) {
-    EraseOldestRequest(records);
-  }
+  if (!records.requests.contains(key)) MakeRoom(records);
   CrashRecord& record = records.requests[key];
   const bool was_refused = record.refused_until.has_value();
   record = {};
@@ -194,8 +192,9 @@
   if (it == records.requests.end() || !IsRefusable(it->second))
     return is_changed;
   CrashRecord& record = it->second;
-  if (news.refusals > record.refusals) {
-    record.refusals = news.refusals;
+  const std::uint32_t refusals = std::min(news.refusals, kMaxDoublings);
+  if (refusals > record.refusals) {
+    record.refusals = refusals;
     record.refused_until = record.last_loss_at + RefusalTime(record.refusals);
   }
   if (!news.is_tried) return is_changed;
--- a/src/libs/gateway/crashes.cc
+++ b/src/libs/gateway/crashes.cc
@@ -23,9 +23,11 @@
 
 void LogRefusal(Context& context, RequestKey key, const char* source) {
   const CrashRecords& records = context.forwarder.crashes;
+  const auto it = records.requests.find(key);
+  if (it == records.requests.end()) return;
   Log(context, LogEvent::kRequestRefused,
       {{"key", FormatKey(key)},
-       {"crashes", std::to_string(records.requests.at(key).losses.size())},
+       {"crashes", std::to_string(it->second.losses.size())},
        {"refused_ms", FormatMillis(RefusedFor(records, key, context.now))},
        {"source", source}});
 }
--- a/src/plugins/fleet/fleet_datagrams.cc
+++ b/src/plugins/fleet/fleet_datagrams.cc
@@ -25,6 +25,9 @@
 /// Number of instances of each other zone that are told; they pass it on to
 /// their zone while they watch.
 constexpr std::size_t kToldPerZone = 3;
+/// Number of instances, on average, that answer a watcher's update with a newer
+/// version.
+constexpr std::uint64_t kTellers = 4;
 
 struct EvidenceDatagram {
   InstanceId sender;
@@ -103,6 +106,13 @@
   }
 }
 
+bool FleetTask::IsChosenToTell() {
+  const auto n = std::ranges::count_if(lists_.members, [this](const auto& it) {
+    return it.second.zone == options_.self.zone;
+  });
+  return UniformBelow(random_, std::max<std::uint64_t>(n, 1)) < kTellers;
+}
+
 void FleetTask::HandleAnnouncedVersion(const std::string& sender,
                                        ConfigVersion version) {
   const TimePoint now = net::MonotonicNow();
--- a/src/plugins/fleet/fleet_task.cc
+++ b/src/plugins/fleet/fleet_task.cc
@@ -229,7 +229,7 @@
   const TimePoint now = net::MonotonicNow();
   gateway::RecordUpdate(watch_duty_, update.sender, now);
   HandleAnnouncedVersion(update.sender, update.configuration);
-  if (gateway::MustTell(lag_, update.configuration, now))
+  if (gateway::MustTell(lag_, update.configuration, now) && IsChosenToTell())
     peer_socket_->Send(peer, EncodeVersion());
   if (is_watching_) return;
   const bool is_same = gateway::ApplyUpdate(lists_, update);
--- a/src/plugins/fleet/fleet_task.h
+++ b/src/plugins/fleet/fleet_task.h
@@ -180,6 +180,9 @@
   void HandleUpdate(const Endpoint& peer, const gateway::ListUpdate& update);
   void HandleAnnouncedVersion(const std::string& sender, ConfigVersion version);
   void TellVersionIfDue(TimePoint now);
+  /// Returns whether this instance is one of a few of its zone, chosen at
+  /// random each time.
+  bool IsChosenToTell();
   void HandleConfigurationReply(const OpenCall& call,
                                 const storesync::Reply& reply, TimePoint now);
   void AskForLimitsIfDue(TimePoint now);
--- a/tests/auto/gateway/crash_records_test.cc
+++ b/tests/auto/gateway/crash_records_test.cc
@@ -113,6 +113,14 @@
       ForgetOld(refused, kStart + Seconds(2000));
       CPPUNIT_ASSERT(!IsSuspected(refused, kKey));
     });
+    Section("many other losses do not drive it out", [&] {
+      CrashRecords refused = WithLosses(3);
+      for (std::uint64_t i = 100; i < 5000; ++i)
+        RecordLoss(refused, RequestKey(i), Server(i), kStart + Seconds(1));
+      CPPUNIT_ASSERT_EQUAL(kBound, refused.requests.size());
+      CPPUNIT_ASSERT(VerdictOn(refused, kKey, kStart + Seconds(2)) ==
+                     CrashVerdict::kRefused);
+    });
     Section("servers of one request are bounded, too", [&] {
       const CrashRecords many = WithLosses(200);
       CPPUNIT_ASSERT(many.requests.at(kKey).losses.size() <= 16);
