Test malformed datagrams and random news of crashes, and split the simulated crashes

The decoders of the new datagrams and the merge of another instance's records are fed with corrupted and random input (fixed seeds): no process ends, and the bounds of records, servers and times hold.

--- a/tests/auto/fleet/fleet_task_test.cc
+++ b/tests/auto/fleet/fleet_task_test.cc
@@ -166,6 +166,7 @@
   CPPUNIT_TEST(WatchThatIsBeingAnsweredIsNotDropped);
   CPPUNIT_TEST(WatcherThatIsBehindIsTold);
   CPPUNIT_TEST(WatcherTellsOtherZonesANewVersion);
+  CPPUNIT_TEST(MalformedDatagramsAreDropped);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -314,7 +315,57 @@
     CPPUNIT_ASSERT(silent.told > 1);
   }
 
+  /// Guards against a datagram that ends the process.
+  void MalformedDatagramsAreDropped() {
+    auto loop = std::move(*net::EventLoop::Create());
+    auto peer =
+        std::move(*net::UdpSocket::Bind(*loop, {"127.0.0.1", kPorts.At(3)}));
+    Random random(27);
+    int sent = 0;
+    const net::Timer send(*loop, net::Timer::Kind::kPeriodic, Millis(1), [&] {
+      std::string bytes = MakeDatagram(sent++);
+      const auto at = UniformBelow(random, bytes.size());
+      if (sent % 2 == 0) {
+        bytes.resize(at);
+      } else {
+        bytes[at] = static_cast<char>(random());
+      }
+      peer->Send({"127.0.0.1", kPorts.At(kInstancePort)}, bytes);
+    });
+    int version = 0;
+    Run(*loop, Seconds(3), [&](const storesync::Call& call) {
+      return IsConfigurationList(call)
+                 ? std::optional(ConfigurationList(++version))
+                 : ReplyOfEmptyStore(call);
+    });
+    CPPUNIT_ASSERT(sent > 500);
+    CPPUNIT_ASSERT(version > 0);
+  }
+
  private:
+  /// Returns datagrams of several kinds by turns.
+  static std::string MakeDatagram(int number) {
+    constexpr int kKinds = 4;
+    gateway::CrashMessage crashes;
+    crashes.requests.push_back(
+        {gateway::RequestKey(1), {}, {{BackendServerId(2), Seconds(1)}}});
+    crashes.survivors.push_back({BackendServerId(3), Seconds(1)});
+    gateway::ListUpdate update;
+    update.sender = "n0";
+    update.removed_servers = {"s1", "s2"};
+    switch (number % kKinds) {
+      case 0:
+        return EncodeDatagram(DatagramKind::kCrashes, crashes);
+      case 1:
+        return EncodeDatagram(DatagramKind::kListUpdate, update);
+      case 2:
+        return EncodeDatagram(DatagramKind::kLeavingServers,
+                              std::vector<BackendServerId>(3));
+      default:
+        return EncodeDatagram(DatagramKind::kConfigurationVersion, update);
+    }
+  }
+
   /// Runs an instance before this store.
   static void Run(net::EventLoop& loop, Duration time,
                   const ScriptedStore::Script& script) {
--- a/tests/auto/gateway/crash_records_test.cc
+++ b/tests/auto/gateway/crash_records_test.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 
+#include "libs/base/random.h"
 #include "libs/gateway/request_key.h"
 #include "tests/auto/support/story.h"
 
@@ -30,6 +31,7 @@
   CPPUNIT_TEST(AnswersProveThatServersLive);
   CPPUNIT_TEST(RecordsAreBoundedInNumberAndAge);
   CPPUNIT_TEST(NewsOfOthersIsAddedUp);
+  CPPUNIT_TEST(RandomNewsStayWithinTheBounds);
   CPPUNIT_TEST(KeysTellCallersAndBodiesApart);
   CPPUNIT_TEST_SUITE_END();
 
@@ -164,6 +166,40 @@
     });
   }
 
+  /// Guards against a peer whose messages fill the memory, refuse a request for
+  /// ever or end the process.
+  void RandomNewsStayWithinTheBounds() {
+    constexpr std::size_t kMaxRequests = 1000;
+    constexpr std::size_t kMaxLosses = 16;
+    Random random(27);
+    CrashRecords records;
+    const auto any_duration = [&] {
+      return Duration(static_cast<std::int64_t>(random()));
+    };
+    for (int i = 0; i < 20000; ++i) {
+      CrashNews news;
+      news.key = RequestKey(UniformBelow(random, 3000));
+      news.any_caller = RequestKey(UniformBelow(random, 3000));
+      for (std::uint64_t n = UniformBelow(random, 30); n > 0; --n) {
+        news.losses.push_back(
+            {Server(UniformBelow(random, 5000)), any_duration()});
+      }
+      news.refusals = static_cast<std::uint32_t>(random());
+      news.is_tried = UniformBelow(random, 2) == 0;
+      news.tried_age = any_duration();
+      const TimePoint now = kStart + Millis(i);
+      Merge(records, news, now);
+      CPPUNIT_ASSERT(records.requests.size() <= kMaxRequests);
+      CPPUNIT_ASSERT(RefusedFor(records, news.key, now) <= Seconds(900));
+      if (const auto it = records.requests.find(news.key);
+          it != records.requests.end()) {
+        CPPUNIT_ASSERT(it->second.losses.size() <= kMaxLosses);
+      }
+    }
+    ForgetOld(records, kStart + Seconds(4000));
+    CPPUNIT_ASSERT(records.requests.empty());
+  }
+
   void KeysTellCallersAndBodiesApart() {
     CallerRequest request;
     request.method = "POST";
--- a/tests/auto/gateway/fleet_simulation.cc
+++ b/tests/auto/gateway/fleet_simulation.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <utility>
 
+#include "tests/auto/gateway/fleet_crashes.h"
 #include "tests/auto/gateway/fleet_exchange.h"
 
 namespace ibisladder::gateway {
@@ -16,10 +17,8 @@
 constexpr std::size_t kMaxIdleConnections = 4;
 constexpr Duration kServerWarmUp = Seconds(3);
 constexpr int kWarmingSlowdown = 2;
-/// Time from the start of a crashing request to the crash, and from that to the
-/// server's next start.
+/// Time from the start of a crashing request to the crash.
 constexpr Duration kTimeToCrash = Millis(80);
-constexpr Duration kRestartTime = Seconds(3);
 constexpr char kService[] = "s";
 constexpr char kServiceWithoutServers[] = "t";
 
@@ -63,14 +62,6 @@
   return IsWarming(fleet, server) ? time * kWarmingSlowdown : time;
 }
 
-bool IsCrashing(const FleetSimulation& fleet, const ServerRequest& request) {
-  const CallerRequest& it = *request.attempt.request;
-  const CrashingRequest& crashing = fleet.settings.crashing;
-  return !crashing.target.empty() && it.target.starts_with(crashing.target) &&
-         (crashing.caller_address.empty() ||
-          it.caller_address == crashing.caller_address);
-}
-
 void StartWaiting(FleetSimulation& fleet, SimulatedServer& server) {
   while (!server.waiting.empty() &&
          server.running.size() < server.entry.slots) {
@@ -171,39 +162,6 @@
   }
 }
 
-/// Ends all requests of a server and its connections.
-void EndRequests(FleetSimulation& fleet, SimulatedServer& server) {
-  const auto running = std::exchange(server.running, {});
-  const auto waiting = std::exchange(server.waiting, {});
-  for (auto& [key, idle] : fleet.idle) {
-    if (key.second == server.entry.name) idle.clear();
-  }
-  for (const auto& it : running)
-    FailFrom(fleet, it.instance, it.attempt, AttemptFailure::kConnectionLost);
-  for (const auto& it : waiting)
-    FailFrom(fleet, it.instance, it.attempt, AttemptFailure::kConnectionLost);
-}
-
-/// Crashes the server if it has executed the crashing request.
-void CrashIfDue(FleetSimulation& fleet, SimulatedServer& server) {
-  const bool is_due = std::ranges::any_of(server.running, [&](const auto& it) {
-    return it.ends_at <= fleet.now && IsCrashing(fleet, it);
-  });
-  if (!is_due) return;
-  fleet.crashes.push_back(fleet.now);
-  server.mode = ServerMode::kRefuses;
-  server.starts_at = fleet.now + kRestartTime;
-  EndRequests(fleet, server);
-}
-
-void StartCrashedServers(FleetSimulation& fleet) {
-  std::vector<std::string> due;
-  for (const auto& [name, server] : fleet.servers) {
-    if (server.starts_at && *server.starts_at <= fleet.now) due.push_back(name);
-  }
-  for (const auto& it : due) RestartServer(fleet, it);
-}
-
 void FinishDue(FleetSimulation& fleet) {
   for (auto& [name, server] : fleet.servers) {
     CrashIfDue(fleet, server);
