--- a/src/libs/gateway/crash_records.cc
+++ b/src/libs/gateway/crash_records.cc
@@ -61,8 +61,9 @@
 void Explain(CrashRecords& records, const RequestKeys& keys) {
   const auto refused = records.requests.find(keys.request);
   const auto all = records.requests.find(keys.any_caller);
+  // A wrong message may name the same key twice.
   const bool applies = refused != records.requests.end() &&
-                       all != records.requests.end() &&
+                       all != records.requests.end() && refused != all &&
                        IsRefusable(refused->second);
   if (!applies) return;
   CrashRecord& record = all->second;
