Let a new watcher announce the servers that ended while nobody watched

The zone's watcher and the next one lose the store 57 ms before the server says that it leaves; the third takes over after 1.6 s and reads the lists, but announces no difference, so that the others wait for 350 ms before they read the lists themselves.

Servers that leave or are gone, by a list that was just read, are announced at once now. New entries still are not: they may be older than a removal that others have heard of. The new section of UpdatesContainChanges failed before.

--- a/src/libs/gateway/list_updates.cc
+++ b/src/libs/gateway/list_updates.cc
@@ -108,9 +108,16 @@
   return hasher.value();
 }
 
-UpdateLog StartUpdateLog(const SharedLists& lists) {
+UpdateLog StartUpdateLog(const SharedLists& before, const SharedLists& lists) {
   UpdateLog log;
   log.announced = lists;
+  for (const auto& [name, entry] : before.servers) {
+    const auto it = lists.servers.find(name);
+    const bool ends = it == lists.servers.end() ||
+                      (it->second.draining && !entry.draining &&
+                       it->second.started_ms == entry.started_ms);
+    if (ends) log.announced.servers[name] = entry;
+  }
   return log;
 }
 
--- a/src/libs/gateway/list_updates.h
+++ b/src/libs/gateway/list_updates.h
@@ -52,10 +52,12 @@
   TimePoint announced_at;
 };
 
-/// Returns a log for an instance that starts to send updates. The current lists
-/// are not announced as changes: if this instance was away, they may contain
-/// entries that were removed meanwhile, and receivers would add them again.
-UpdateLog StartUpdateLog(const SharedLists& lists);
+/// Returns a log for an instance that starts to send updates. `before`: what it
+/// knew from others, or announced last. Of the differences, those servers are
+/// announced that leave or are gone. Others are not: if this instance was away,
+/// they may contain entries that were removed meanwhile, and receivers would
+/// add them again.
+UpdateLog StartUpdateLog(const SharedLists& before, const SharedLists& lists);
 /// Returns whether an update should be sent now: the lists' hash has changed,
 /// or a heartbeat is due. A heartbeat repeats recent changes.
 bool IsUpdateDue(const UpdateLog& log, const SharedLists& lists, TimePoint now);
--- a/src/plugins/fleet/fleet_task.cc
+++ b/src/plugins/fleet/fleet_task.cc
@@ -112,6 +112,7 @@
   configuration_view_.settings.watch_wait =
       must_watch ? kWatcherConfigurationWatchWait : kConfigurationWatchWait;
   if (must_watch) {
+    update_log_.announced = lists_;
     RelistServersAndMembers("starts to watch", now);
     Relist(configuration_view_, CallOwner::kConfiguration, "starts to watch",
            now);
@@ -142,7 +143,8 @@
   const bool was_announcing =
       std::exchange(is_announcing_, AreListsCurrent(now));
   if (!is_announcing_ || registration_.is_ending) return;
-  if (!was_announcing) update_log_ = gateway::StartUpdateLog(lists_);
+  if (!was_announcing)
+    update_log_ = gateway::StartUpdateLog(update_log_.announced, lists_);
   if (!gateway::IsUpdateDue(update_log_, lists_, now)) return;
   gateway::ListUpdate update = gateway::MakeUpdate(update_log_, lists_, now);
   update.sender = options_.self.name;
--- a/tests/auto/gateway/list_updates_test.cc
+++ b/tests/auto/gateway/list_updates_test.cc
@@ -106,10 +106,24 @@
     Section("new sender does not announce entries that have left", [&] {
       SharedLists absent = sender;
       absent.servers.emplace("gone", MakeServer("gone", "s"));
-      UpdateLog late = StartUpdateLog(absent);
+      UpdateLog late = StartUpdateLog({}, absent);
       ApplyUpdate(receiver, MakeUpdate(late, absent, kStart + Seconds(5)));
       CPPUNIT_ASSERT(!receiver.servers.contains("gone"));
     });
+    Section("new sender announces what ended since it last heard of it", [&] {
+      SharedLists now = sender;
+      now.servers.emplace("s3", MakeServer("s3", "s"));
+      now.servers.emplace("s4", MakeServer("s4", "s"));
+      const SharedLists known = now;
+      now.servers.at("s3").draining = true;
+      now.servers.erase("s4");
+      SharedLists other = known;
+      UpdateLog late = StartUpdateLog(known, now);
+      CPPUNIT_ASSERT(
+          ApplyUpdate(other, MakeUpdate(late, now, kStart + Seconds(5))));
+      CPPUNIT_ASSERT(other.servers.at("s3").draining);
+      CPPUNIT_ASSERT(!other.servers.contains("s4"));
+    });
     Section("decreasing warm-up time is not a change", [&] {
       sender.servers.at("s2").warm_up_left = Seconds(1);
       CPPUNIT_ASSERT(!IsUpdateDue(log, sender, kStart + Seconds(5)));
