--- a/src/libs/base/result_code.cc
+++ b/src/libs/base/result_code.cc
@@ -55,7 +55,8 @@
     case ResultCode::kServersLimited:
       return "the backend servers named limits that leave no room now";
     case ResultCode::kRequestCrashesServers:
-      return "backend servers crashed while they ran this request";
+      return "at least three backend servers crashed while they ran the same "
+             "request of this caller; this attempt was not sent";
     case ResultCode::kOrganisationLimit:
       return "the organisation is over its limit";
     case ResultCode::kDeadlineBeforeDispatch:
--- a/src/libs/gateway/crash_records.cc
+++ b/src/libs/gateway/crash_records.cc
@@ -25,6 +25,7 @@
 constexpr Duration kRefusalMemory = Seconds(1800);
 constexpr std::size_t kMaxRequests = 1000;
 constexpr std::size_t kMaxLosses = 16;
+constexpr std::size_t kMaxExplained = 64;
 /// Bounds the answer to an instance that asks.
 constexpr std::size_t kMaxNews = 200;
 
@@ -32,6 +33,12 @@
   return record.losses.size() >= kCrashesUntilRefused;
 }
 
+void Allow(CrashRecord& record) {
+  record.refused_until.reset();
+  record.tried_at.reset();
+  record.refusals = 0;
+}
+
 Duration RefusalTime(std::uint32_t refusals) {
   const std::uint32_t doublings =
       std::min(refusals > 0 ? refusals - 1 : 0, kMaxDoublings);
@@ -45,6 +52,24 @@
   if (oldest != records.requests.end()) records.requests.erase(oldest);
 }
 
+/// Forgets the losses for all callers that the refused request of one caller
+/// explains.
+void Explain(CrashRecords& records, const RequestKeys& keys) {
+  const auto refused = records.requests.find(keys.request);
+  const auto all = records.requests.find(keys.any_caller);
+  const bool applies = refused != records.requests.end() &&
+                       all != records.requests.end() &&
+                       IsRefusable(refused->second);
+  if (!applies) return;
+  CrashRecord& record = all->second;
+  if (record.explained.size() > kMaxExplained) record.explained.clear();
+  for (const auto& [server, lost_at] : refused->second.losses) {
+    record.losses.erase(server);
+    record.explained.insert(server);
+  }
+  if (!IsRefusable(record)) Allow(record);
+}
+
 void EraseOldestLoss(CrashRecord& record) {
   const auto oldest = std::ranges::min_element(
       record.losses, {}, [](const auto& it) { return it.second; });
@@ -86,7 +111,8 @@
     EraseOldestRequest(records);
   }
   CrashRecord& record = records.requests[key];
-  if (IsHarmless(record, lost_at)) return false;
+  if (IsHarmless(record, lost_at) || record.explained.contains(server))
+    return false;
   if (!record.losses.emplace(server, lost_at).second) return false;
   if (record.losses.size() > kMaxLosses) EraseOldestLoss(record);
   record.last_loss_at = std::max(record.last_loss_at, lost_at);
@@ -98,6 +124,21 @@
   return !was_refused;
 }
 
+std::vector<RequestKey> RecordLoss(CrashRecords& records,
+                                   const RequestKeys& keys,
+                                   BackendServerId server, TimePoint lost_at) {
+  std::vector<RequestKey> refused;
+  if (RecordLoss(records, keys.request, server, lost_at))
+    refused.push_back(keys.request);
+  const auto it = records.requests.find(keys.request);
+  if (it != records.requests.end() && IsRefusable(it->second)) {
+    Explain(records, keys);
+  } else if (RecordLoss(records, keys.any_caller, server, lost_at)) {
+    refused.push_back(keys.any_caller);
+  }
+  return refused;
+}
+
 void RecordTrial(CrashRecords& records, RequestKey key, TimePoint at) {
   const auto it = records.requests.find(key);
   if (it == records.requests.end() || !IsRefusable(it->second)) return;
@@ -132,9 +173,7 @@
     CrashRecord& record = it->second;
     const bool is_changed = record.losses.erase(server) > 0;
     if (is_changed && !IsRefusable(record) && record.refused_until) {
-      record.refused_until.reset();
-      record.tried_at.reset();
-      record.refusals = 0;
+      Allow(record);
       restored.push_back(it->first);
     }
     const bool is_empty = record.losses.empty() && !record.served_at;
@@ -150,6 +189,7 @@
     const LossNews& it = news.losses[i];
     is_changed |= RecordLoss(records, news.key, it.server, TimeOf(it.age, now));
   }
+  Explain(records, {news.key, news.any_caller});
   const auto it = records.requests.find(news.key);
   if (it == records.requests.end() || !IsRefusable(it->second))
     return is_changed;
@@ -208,9 +248,10 @@
 }
 
 CrashNews MakeCrashNews(const CrashRecords& records, RequestKey key,
-                        TimePoint now) {
+                        TimePoint now, RequestKey any_caller) {
   CrashNews news;
   news.key = key;
+  news.any_caller = any_caller;
   const auto it = records.requests.find(key);
   if (it == records.requests.end()) return news;
   const CrashRecord& record = it->second;
--- a/src/libs/gateway/crash_records.h
+++ b/src/libs/gateway/crash_records.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -16,9 +17,16 @@
 /// one of them. Each instance tells the others what it sees.
 namespace ibisladder::gateway {
 
-/// 64-bit hash of a request; see KeyOf.
+/// 64-bit hash of a request; see KeysOf.
 using RequestKey = Strong<struct RequestKeyTag, std::uint64_t>;
 
+/// Keys of a request that are equal when it comes again.
+struct RequestKeys {
+  RequestKey request;
+  /// The same without the caller.
+  RequestKey any_caller;
+};
+
 /// What is known of one request.
 struct CrashRecord {
   /// Incarnations of servers whose connection ended while the request was
@@ -34,6 +42,9 @@
   /// When a server last served it. For a while after that, losses are not its
   /// fault.
   std::optional<TimePoint> served_at;
+  /// Of a record for all callers: servers at which a refused request of one
+  /// caller was lost, so that other callers' requests are not suspected.
+  std::set<BackendServerId> explained;
 };
 
 struct CrashRecords {
@@ -59,6 +70,8 @@
 /// An instance's record of one request.
 struct CrashNews {
   RequestKey key;
+  /// The key without the caller, which the receiver may not know.
+  RequestKey any_caller;
   std::vector<LossNews> losses;
   std::uint32_t refusals = 0;
   bool is_tried = false;
@@ -68,7 +81,7 @@
   template <typename Archive>
   void serialize(Archive& archive) {
     std::int64_t tried_us = tried_age.count();
-    archive(key, losses, refusals, is_tried, tried_us);
+    archive(key, any_caller, losses, refusals, is_tried, tried_us);
     tried_age = Duration(tried_us);
   }
 };
@@ -78,8 +91,9 @@
   std::vector<CrashNews> requests;
   /// Requests that a server has answered with success.
   std::vector<RequestKey> served;
-  /// Servers that have answered or accepted a connection after a request was
-  /// lost there; `age` is the time since then.
+  /// Servers that have answered an exchange, or accepted a connection, that
+  /// began after a request was lost there; `age` is the time since its
+  /// beginning.
   std::vector<LossNews> survivors;
 
   template <typename Archive>
@@ -102,6 +116,12 @@
 /// Records that the request may have crashed the server.
 bool RecordLoss(CrashRecords& records, RequestKey key, BackendServerId server,
                 TimePoint lost_at);
+/// Records the loss for the request of this caller and, unless that is refused
+/// already, for the request of any caller: a request may come from several.
+/// Returns the keys whose refusal has begun.
+std::vector<RequestKey> RecordLoss(CrashRecords& records,
+                                   const RequestKeys& keys,
+                                   BackendServerId server, TimePoint lost_at);
 /// Records that the request is tried; other attempts are refused meanwhile.
 void RecordTrial(CrashRecords& records, RequestKey key, TimePoint at);
 /// Records that a server has served the request, and forgets its losses.
@@ -129,9 +149,10 @@
                        TimePoint now);
 /// Returns how long the request is still refused; zero if it is not.
 Duration RefusedFor(const CrashRecords& records, RequestKey key, TimePoint now);
-/// Returns the record of one request for other instances.
+/// Returns the record of one request for other instances. `any_caller`: the key
+/// without the caller, if `key` has one.
 CrashNews MakeCrashNews(const CrashRecords& records, RequestKey key,
-                        TimePoint now);
+                        TimePoint now, RequestKey any_caller = {});
 /// Returns the records that an instance needs after its start: those of
 /// requests that were lost at several servers.
 std::vector<CrashNews> RepeatedLosses(const CrashRecords& records,
--- a/src/libs/gateway/crashes.cc
+++ b/src/libs/gateway/crashes.cc
@@ -1,5 +1,7 @@
 // Tracks the requests that may have crashed servers, tells other instances of
 // them, and refuses those that did so repeatedly.
+#include <algorithm>
+#include <array>
 #include <utility>
 
 #include "libs/gateway/forwarder_state.h"
@@ -10,9 +12,13 @@
 /// Retry-After of a refused request at most, as the refusal may end earlier.
 constexpr Duration kMaxRetryAfter = Seconds(10);
 
-RequestKey KeyOf(Call& call) {
-  if (!call.key) call.key = gateway::KeyOf(*call.request);
-  return *call.key;
+const RequestKeys& KeysOf(Call& call) {
+  if (!call.keys) call.keys = gateway::KeysOf(*call.request);
+  return *call.keys;
+}
+
+std::array<RequestKey, 2> AllOf(const RequestKeys& keys) {
+  return {keys.request, keys.any_caller};
 }
 
 void LogRefusal(Context& context, RequestKey key, const char* source) {
@@ -33,19 +39,23 @@
   context.forwarder.actions.emplace_back(ShareCrashes{std::move(message)});
 }
 
-void ShareRecord(Context& context, RequestKey key) {
+void ShareRecords(Context& context, const RequestKeys& keys) {
+  const CrashRecords& records = context.forwarder.crashes;
   Share(context,
-        {{MakeCrashNews(context.forwarder.crashes, key, context.now)}, {}, {}});
+        {{MakeCrashNews(records, keys.request, context.now, keys.any_caller),
+          MakeCrashNews(records, keys.any_caller, context.now)},
+         {},
+         {}});
 }
 
 void MergeSurvivor(Context& context, const LossNews& survivor,
                    const char* reason) {
-  const TimePoint answered_at =
+  const TimePoint began_at =
       context.now - std::max(survivor.age, Duration::zero());
   bool is_news = false;
   for (const RequestKey it :
-       RecordContact(context.forwarder.crashes, survivor.server, answered_at,
-                     answered_at, is_news)) {
+       RecordContact(context.forwarder.crashes, survivor.server, began_at,
+                     began_at, is_news)) {
     LogRestored(context, it, reason);
   }
 }
@@ -55,15 +65,19 @@
 void RecordLostRequest(Context& context, CallId id, BackendServerId server,
                        const std::string& server_name) {
   Call& call = context.forwarder.calls.at(id);
-  const RequestKey key = KeyOf(call);
+  const RequestKeys& keys = KeysOf(call);
   Log(context, LogEvent::kRequestLost,
       {{"request", call.request->request_id},
-       {"key", FormatKey(key)},
+       {"key", FormatKey(keys.request)},
+       {"any_caller", FormatKey(keys.any_caller)},
+       {"caller", call.request->caller_address},
        {"server", server_name},
        {"attempt", std::to_string(call.attempts)}});
-  if (RecordLoss(context.forwarder.crashes, key, server, context.now))
-    LogRefusal(context, key, "own");
-  ShareRecord(context, key);
+  for (const RequestKey it :
+       RecordLoss(context.forwarder.crashes, keys, server, context.now)) {
+    LogRefusal(context, it, "own");
+  }
+  ShareRecords(context, keys);
 }
 
 void RecordServerContact(Context& context, BackendServerId server,
@@ -73,46 +87,56 @@
                                       began_at, context.now, is_news);
   for (const RequestKey it : restored)
     LogRestored(context, it, "a server did not crash");
-  if (is_news) Share(context, {{}, {}, {{server, Duration::zero()}}});
+  if (is_news) Share(context, {{}, {}, {{server, context.now - began_at}}});
 }
 
 void RecordServedCall(Context& context, CallId id) {
   CrashRecords& records = context.forwarder.crashes;
   if (records.requests.empty()) return;
-  const RequestKey key = KeyOf(context.forwarder.calls.at(id));
-  if (!IsServiceNews(records, key, context.now)) return;
-  if (RecordServed(records, key, context.now))
-    LogRestored(context, key, "served");
-  Share(context, {{}, {key}, {}});
+  CrashMessage message;
+  for (const RequestKey it : AllOf(KeysOf(context.forwarder.calls.at(id)))) {
+    if (!IsServiceNews(records, it, context.now)) continue;
+    if (RecordServed(records, it, context.now))
+      LogRestored(context, it, "served");
+    message.served.push_back(it);
+  }
+  if (!message.served.empty()) Share(context, std::move(message));
 }
 
 std::optional<routing::Refused> CrashRefusal(Context& context, CallId id) {
   const CrashRecords& records = context.forwarder.crashes;
   if (records.requests.empty()) return std::nullopt;
-  const RequestKey key = KeyOf(context.forwarder.calls.at(id));
-  if (VerdictOn(records, key, context.now) != CrashVerdict::kRefused)
-    return std::nullopt;
-  return routing::Refused{
-      ResultCode::kRequestCrashesServers,
-      std::min(RefusedFor(records, key, context.now), kMaxRetryAfter)};
+  for (const RequestKey it : AllOf(KeysOf(context.forwarder.calls.at(id)))) {
+    if (VerdictOn(records, it, context.now) != CrashVerdict::kRefused) continue;
+    return routing::Refused{
+        ResultCode::kRequestCrashesServers,
+        std::min(RefusedFor(records, it, context.now), kMaxRetryAfter)};
+  }
+  return std::nullopt;
 }
 
 bool MayHaveCrashed(Context& context, CallId id) {
   const CrashRecords& records = context.forwarder.crashes;
   if (records.requests.empty()) return false;
-  return IsSuspected(records, KeyOf(context.forwarder.calls.at(id)));
+  return IsSuspected(records,
+                     KeysOf(context.forwarder.calls.at(id)).any_caller) ||
+         IsSuspected(records, KeysOf(context.forwarder.calls.at(id)).request);
 }
 
 void RecordTrialOf(Context& context, CallId id) {
   CrashRecords& records = context.forwarder.crashes;
   if (records.requests.empty()) return;
   Call& call = context.forwarder.calls.at(id);
-  const RequestKey key = KeyOf(call);
-  if (VerdictOn(records, key, context.now) != CrashVerdict::kTrial) return;
-  RecordTrial(records, key, context.now);
-  Log(context, LogEvent::kRequestTried,
-      {{"request", call.request->request_id}, {"key", FormatKey(key)}});
-  ShareRecord(context, key);
+  const RequestKeys& keys = KeysOf(call);
+  bool is_trial = false;
+  for (const RequestKey it : AllOf(keys)) {
+    if (VerdictOn(records, it, context.now) != CrashVerdict::kTrial) continue;
+    is_trial = true;
+    RecordTrial(records, it, context.now);
+    Log(context, LogEvent::kRequestTried,
+        {{"request", call.request->request_id}, {"key", FormatKey(it)}});
+  }
+  if (is_trial) ShareRecords(context, keys);
 }
 
 void MergeCrashMessage(Context& context, const CrashMessage& message) {
--- a/src/libs/gateway/forwarder_state.h
+++ b/src/libs/gateway/forwarder_state.h
@@ -55,7 +55,7 @@
 struct Call {
   CallerRequestPtr request;
   /// Computed when it is first needed.
-  std::optional<RequestKey> key;
+  std::optional<RequestKeys> keys;
   Route route;
   ServiceId service;
   TimePoint arrived_at;
--- a/src/libs/gateway/request_key.cc
+++ b/src/libs/gateway/request_key.cc
@@ -3,21 +3,29 @@
 #include <array>
 #include <cinttypes>
 #include <cstdio>
+#include <string_view>
 
+#include "libs/gateway/route_table.h"
 #include "libs/requests/fingerprint.h"
 
 namespace ibisladder::gateway {
 
-RequestKey KeyOf(const CallerRequest& request) {
+RequestKeys KeysOf(const CallerRequest& request) {
   std::string caller = request.caller_address;
   for (const char* name : {"Authorization", "Cookie"}) {
     const std::string* value = net::FindHeader(request.headers, name);
     caller += '\n' + (value == nullptr ? "" : *value);
   }
-  return RequestKey(requests::MakeFingerprint(
-                        request.method, request.host + '\n' + request.target,
-                        caller, request.body)
-                        .low);
+  const std::string path = request.target.substr(0, request.target.find('?'));
+  // Instances may be addressed by different ports.
+  const std::string place =
+      std::string(WithoutPort(request.host)) + '\n' + path;
+  const auto key = [&](std::string_view sender) {
+    return RequestKey(
+        requests::MakeFingerprint(request.method, place, sender, request.body)
+            .low);
+  };
+  return {key(caller), key("")};
 }
 
 std::string FormatKey(RequestKey key) {
--- a/src/libs/gateway/request_key.h
+++ b/src/libs/gateway/request_key.h
@@ -7,10 +7,10 @@
 
 namespace ibisladder::gateway {
 
-/// Returns the same key for a request that comes again: with the same method,
-/// host, target, caller and body. The caller is told by its IP address and what
-/// it authenticates with.
-RequestKey KeyOf(const CallerRequest& request);
+/// Returns the keys of method, host, path and body, with and without the
+/// caller. The caller is told by its IP address and what it authenticates with.
+/// The query does not count.
+RequestKeys KeysOf(const CallerRequest& request);
 /// Returns the key as logged, 16 hexadecimal digits.
 std::string FormatKey(RequestKey key);
 
--- a/src/libs/gateway/route_table.cc
+++ b/src/libs/gateway/route_table.cc
@@ -10,13 +10,6 @@
 /// Multiples of it modulo 1 are evenly distributed.
 constexpr double kGoldenRatio = 0.6180339887498949;
 
-std::string_view WithoutPort(std::string_view host) {
-  const std::size_t colon = host.rfind(':');
-  const bool has_port =
-      colon != std::string_view::npos && host.find(']', colon) == host.npos;
-  return has_port ? host.substr(0, colon) : host;
-}
-
 std::string LowerCase(std::string_view text) {
   std::string result(text);
   for (char& it : result) {
@@ -27,6 +20,13 @@
 
 }  // namespace
 
+std::string_view WithoutPort(std::string_view host) {
+  const std::size_t colon = host.rfind(':');
+  const bool has_port =
+      colon != std::string_view::npos && host.find(']', colon) == host.npos;
+  return has_port ? host.substr(0, colon) : host;
+}
+
 RouteTable MakeRouteTable(ConfigurationPtr configuration, Random& random) {
   RouteTable table;
   table.configuration = std::move(configuration);
--- a/src/libs/gateway/route_table.h
+++ b/src/libs/gateway/route_table.h
@@ -27,6 +27,8 @@
 /// across instances that get few requests each.
 RouteTable MakeRouteTable(ConfigurationPtr configuration, Random& random);
 
+std::string_view WithoutPort(std::string_view host);
+
 /// Returns the index of a request's route, or -1 if none matches. `target` may
 /// have a query and `host` a port.
 int FindRoute(const RouteTable& table, std::string_view host,
--- a/tests/auto/gateway/crashing_requests_test.cc
+++ b/tests/auto/gateway/crashing_requests_test.cc
@@ -4,6 +4,7 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -86,6 +87,7 @@
 class CrashingRequestsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CrashingRequestsTest);
   CPPUNIT_TEST(AllInstancesTogetherStopSendingARequestThatCrashesServers);
+  CPPUNIT_TEST(RequestOfSeveralCallersIsRefused);
   CPPUNIT_TEST(StrangersWithTheSameTargetAreServed);
   CPPUNIT_TEST(KnowledgeSurvivesRestartsOfInstances);
   CPPUNIT_TEST(RepeatedRequestsBesideCrashesAreServed);
@@ -104,6 +106,25 @@
     }
   }
 
+  /// The caller changes its address, as a phone does, or stands behind several.
+  void RequestOfSeveralCallersIsRefused() {
+    FleetSettings settings = SettingsOf(kSizes[1]);
+    settings.crashing.caller_address.clear();
+    FleetSimulation fleet = MakeFleet(settings);
+    for (int i = 0; i < 240; ++i) {
+      ArriveFrom(fleet, "10.9.9." + std::to_string(i % 200),
+                 kCrashing.target + std::to_string(i));
+      Run(fleet, Millis(120), kBackgroundPerSecond);
+    }
+    CPPUNIT_ASSERT(fleet.crashes.size() >= kCrashesToKnow);
+    const TimePoint from = fleet.crashes[kCrashesToKnow - 1] + kSettleTime;
+    const auto n = std::ranges::count_if(fleet.sent, [&](const auto& it) {
+      return it.at >= from && it.target.starts_with(kCrashing.target);
+    });
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(n) + " sends",
+                           static_cast<std::size_t>(n) <= kAllowedSends);
+  }
+
   void StrangersWithTheSameTargetAreServed() {
     FleetSimulation fleet = MakeFleet(SettingsOf(kSizes[1]));
     RunWithCrashes(fleet, Seconds(8));
--- a/tests/auto/gateway/fleet_simulation.h
+++ b/tests/auto/gateway/fleet_simulation.h
@@ -55,7 +55,9 @@
 
 /// A request that crashes each server that begins to execute it.
 struct CrashingRequest {
+  /// Beginning of its target.
   std::string target;
+  /// Empty: of any caller.
   std::string caller_address;
 };
 
--- a/tests/process/closing_server.cc
+++ b/tests/process/closing_server.cc
@@ -134,6 +134,11 @@
   if (!is_health_check) {
     executions_[request_id].push_back({name_, net::MonotonicNow()});
   }
+  if (!crashing_target_.empty() &&
+      request.target.starts_with(crashing_target_)) {
+    Crash();
+    return;
+  }
   if (is_resetting_) {
     Reset(connection);
     return;
@@ -157,6 +162,12 @@
       });
 }
 
+void ClosingServer::Crash() {
+  while (!connections_.empty()) Reset(connections_.begin()->second);
+  listener_.reset();
+  crashed_();
+}
+
 void ClosingServer::Reset(Connection& connection) {
   ResetOnClose(bufferevent_getfd(connection.bev.get()));
   connections_.erase(connection.id);
--- a/tests/process/closing_server.h
+++ b/tests/process/closing_server.h
@@ -4,6 +4,7 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -45,6 +46,12 @@
   /// connection at once, and the others when they have delivered a request,
   /// which counts as executed.
   void SetResetting(bool is_resetting);
+  /// A request whose target begins like this ends the server: it resets all
+  /// connections, listens no longer, and calls `crashed`.
+  void SetCrashingTarget(std::string target, std::function<void()> crashed) {
+    crashing_target_ = std::move(target);
+    crashed_ = std::move(crashed);
+  }
   /// Adds these fields to all further answers.
   void SetExtraHeaders(net::Headers headers) {
     extra_headers_ = std::move(headers);
@@ -79,12 +86,15 @@
   void Read(Connection& connection);
   void Handle(Connection& connection, const http1::Request& request);
   void Reset(Connection& connection);
+  void Crash();
 
   net::EventLoop& loop_;
   std::string name_;
   Executions& executions_;
   Random random_;
   bool is_resetting_ = false;
+  std::string crashing_target_;
+  std::function<void()> crashed_;
   net::Headers extra_headers_;
   std::uint64_t last_connection_ = 0;
   std::map<std::uint64_t, Connection> connections_;
--- a/tests/process/entry_fleet.cc
+++ b/tests/process/entry_fleet.cc
@@ -27,6 +27,9 @@
 constexpr Duration kReadyTimeout = Seconds(15);
 constexpr Duration kReadyPollInterval = Millis(20);
 constexpr int kStatusOk = 200;
+/// Time from a server's crash to its replacement.
+constexpr Duration kRestartTime = Millis(1500);
+constexpr char kSentPrefix[] = "sent-";
 
 std::string ServerName(int number) { return "s" + std::to_string(number); }
 bool IsAtMostOnce(std::uint64_t call) { return call % 2 == 0; }
@@ -76,6 +79,7 @@
         ClosingServer::Listen(*loop_, endpoint, ServerName(i), executions_);
     if (!server) throw std::runtime_error(server.error().message);
     servers_.push_back(std::move(*server));
+    names_.push_back(ServerName(i));
     store_.Put(platform::kServersPrefix + ServerName(i),
                ServerValue(endpoint, kSlots));
   }
@@ -136,6 +140,56 @@
   servers_.at(server - 1)->SetExtraHeaders(headers);
 }
 
+void EntryFleet::SetCrashingTarget(const std::string& target) {
+  crashing_target_ = target;
+  for (int i = 1; i <= options_.servers; ++i) {
+    servers_[i - 1]->SetCrashingTarget(target, [this, i] {
+      restarts_.push_back(std::make_unique<net::Timer>(
+          *loop_, net::Timer::Kind::kOnce, kRestartTime,
+          [this, i] { ReplaceServer(i); }));
+    });
+  }
+}
+
+void EntryFleet::ReplaceServer(int server) {
+  const std::string name =
+      ServerName(server) + "-" + std::to_string(++last_name_);
+  const Endpoint endpoint = At(kServerOffset + server);
+  auto replacement = ClosingServer::Listen(*loop_, endpoint, name, executions_);
+  if (!replacement) throw std::runtime_error(replacement.error().message);
+  crashed_servers_.push_back(
+      std::exchange(servers_[server - 1], std::move(*replacement)));
+  store_.Remove(platform::kServersPrefix +
+                std::exchange(names_[server - 1], name));
+  store_.Put(platform::kServersPrefix + name, ServerValue(endpoint, kSlots));
+  SetCrashingTarget(crashing_target_);
+}
+
+void EntryFleet::SendTo(const std::string& target) {
+  net::HttpCall call;
+  call.id = ++last_call_;
+  const auto instance =
+      1 + UniformBelow(random_, static_cast<unsigned>(options_.instances));
+  call.endpoint =
+      At(kInstanceOffset + static_cast<int>(instance) * kPortsPerInstance);
+  call.target = target;
+  call.headers = {{platform::kRequestId, kSentPrefix + std::to_string(call.id)},
+                  {platform::kTimeoutMs, kTimeoutMs}};
+  call.timeout = kCallTimeout;
+  call.max_connections = kMaxCallerConnections;
+  client_.Send(call);
+}
+
+std::vector<TimePoint> EntryFleet::ExecutionsOfSent() const {
+  std::vector<TimePoint> times;
+  for (const auto& [id, runs] : executions_) {
+    if (!id.starts_with(kSentPrefix)) continue;
+    for (const Execution& it : runs) times.push_back(it.at);
+  }
+  std::ranges::sort(times);
+  return times;
+}
+
 void EntryFleet::Restart(int instance) {
   instances_.at(instance).Signal(SIGKILL);
   instances_.at(instance).Wait(std::chrono::seconds(5));
--- a/tests/process/entry_fleet.h
+++ b/tests/process/entry_fleet.h
@@ -53,6 +53,13 @@
   /// Fields that the server adds to its answers from now on. `server` counts
   /// from 1.
   void SetHeaders(int server, const net::Headers& headers);
+  /// Requests with this target crash the servers from now on; each is replaced
+  /// after a while by one with another name at the same address.
+  void SetCrashingTarget(const std::string& target);
+  /// Sends one request to a random instance.
+  void SendTo(const std::string& target);
+  /// Returns when servers executed requests that SendTo sent.
+  std::vector<TimePoint> ExecutionsOfSent() const;
   /// Kills an instance and starts it again. `instance` counts from 1.
   void Restart(int instance);
 
@@ -75,6 +82,7 @@
   void StartInstance(int instance);
   void AwaitReady(int instance);
   void SendCall();
+  void ReplaceServer(int server);
   void EndCall(std::uint64_t number, int status, const net::Headers& headers);
   void RunLoop(Duration time);
 
@@ -85,6 +93,13 @@
   platform::StoreStandin store_;
   Executions executions_;
   std::vector<std::unique_ptr<ClosingServer>> servers_;
+  /// Crashed servers, which may still be on the call stack.
+  std::vector<std::unique_ptr<ClosingServer>> crashed_servers_;
+  std::vector<std::unique_ptr<net::Timer>> restarts_;
+  std::vector<std::string> names_;
+  std::string crashing_target_;
+  int last_name_ = 0;
+  Random random_;
   net::HttpClient client_;
   std::map<int, ChildProcess> instances_;
   std::uint64_t last_call_ = 0;
