--- a/src/libs/base/log_event.cc
+++ b/src/libs/base/log_event.cc
@@ -130,6 +130,8 @@
       return "store_call_failed";
     case LogEvent::kStoreReadRestarted:
       return "store_read_restarted";
+    case LogEvent::kConfigurationItemUnreadable:
+      return "configuration_item_unreadable";
     case LogEvent::kOperatorCall:
       return "operator_call";
     case LogEvent::kOperatorRefused:
--- a/src/libs/base/log_event.h
+++ b/src/libs/base/log_event.h
@@ -70,6 +70,7 @@
   kConfigurationBehind = 1409,
   kStoreCallFailed = 1410,
   kStoreReadRestarted = 1411,
+  kConfigurationItemUnreadable = 1412,
 
   kOperatorCall = 1501,
   kOperatorRefused = 1502,
--- a/src/libs/base/result_code.cc
+++ b/src/libs/base/result_code.cc
@@ -57,6 +57,9 @@
     case ResultCode::kRequestCrashesServers:
       return "at least three backend servers crashed while they ran the same "
              "request of this caller; this attempt was not sent";
+    case ResultCode::kRouteUnreadable:
+      return "the configuration names no service for the route that this "
+             "instance can read";
     case ResultCode::kOrganisationLimit:
       return "the organisation is over its limit";
     case ResultCode::kDeadlineBeforeDispatch:
--- a/src/libs/base/result_code.h
+++ b/src/libs/base/result_code.h
@@ -34,6 +34,7 @@
   kServerUnreachable = 2018,
   kServersLimited = 2019,
   kRequestCrashesServers = 2020,
+  kRouteUnreadable = 2021,
 
   kDeadlineAfterDispatch = 3001,
   kServerConnectionLost = 3002,
--- a/src/libs/gateway/configuration.cc
+++ b/src/libs/gateway/configuration.cc
@@ -1,7 +1,41 @@
 #include "libs/gateway/configuration.h"
 
+#include <numeric>
+#include <utility>
+
 namespace ibisladder::gateway {
 
+const char* EffectName(ProblemEffect effect) {
+  switch (effect) {
+    case ProblemEffect::kAtMostOnce:
+      return "at_most_once";
+    case ProblemEffect::kRouteRefused:
+      return "route_refused";
+    case ProblemEffect::kLeftOut:
+      return "left_out";
+    case ProblemEffect::kDefaultUsed:
+      return "default_used";
+  }
+  return "unknown";
+}
+
+void AddProblem(ConfigurationProblems& problems, ConfigurationProblem problem) {
+  ++problems.counts[static_cast<std::size_t>(problem.effect)];
+  if (problems.first.size() < ConfigurationProblems::kMaxKept) {
+    problems.first.push_back(std::move(problem));
+  }
+}
+
+std::size_t CountOf(const ConfigurationProblems& problems,
+                    ProblemEffect effect) {
+  return problems.counts[static_cast<std::size_t>(effect)];
+}
+
+std::size_t CountAll(const ConfigurationProblems& problems) {
+  return std::accumulate(problems.counts.begin(), problems.counts.end(),
+                         std::size_t{0});
+}
+
 BackendServerId IdOf(const ServerEntry& entry) {
   return MakeBackendServerId(
       entry.service, entry.name + "@" + std::to_string(entry.started_ms));
--- a/src/libs/gateway/configuration.h
+++ b/src/libs/gateway/configuration.h
@@ -1,6 +1,7 @@
 #ifndef LIBS_GATEWAY_CONFIGURATION_H_
 #define LIBS_GATEWAY_CONFIGURATION_H_
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -40,7 +41,8 @@
   std::uint32_t max_attempts = 1;
   /// Priority: 0 is high, 1 is normal, all others are low.
   std::uint32_t priority = 1;
-  /// At least one.
+  /// Empty if none could be read. Requests are refused then, since a route with
+  /// a shorter prefix must not get them.
   std::vector<WeightedService> services;
 };
 
@@ -63,11 +65,52 @@
   Duration idle_timeout = Seconds(15);
 };
 
+/// What it costs that a part of a configuration cannot be read.
+enum class ProblemEffect : std::uint8_t {
+  kAtMostOnce,    ///< The route's requests are not repeated.
+  kRouteRefused,  ///< The route's requests are refused.
+  kLeftOut,       ///< The item, or the part of it, is left out.
+  kDefaultUsed,   ///< A field has its default value.
+};
+constexpr std::size_t kProblemEffects = 4;
+
+/// Returns the name for logs and metrics, such as "at_most_once".
+const char* EffectName(ProblemEffect effect);
+
+/// A part of a configuration that cannot be read.
+struct ConfigurationProblem {
+  /// Kind and name of the item, such as "routes/r1".
+  std::string item;
+  /// What is wrong, with the value.
+  std::string reason;
+  ProblemEffect effect = ProblemEffect::kLeftOut;
+
+  friend bool operator==(const ConfigurationProblem&,
+                         const ConfigurationProblem&) = default;
+};
+
+/// The problems of one configuration. Bounded, since a configuration may hold
+/// a hundred thousand unreadable items.
+struct ConfigurationProblems {
+  static constexpr std::size_t kMaxKept = 100;
+
+  /// The first ones, in the order of the configuration.
+  std::vector<ConfigurationProblem> first;
+  /// Numbers of all, by effect.
+  std::array<std::size_t, kProblemEffects> counts{};
+};
+
+void AddProblem(ConfigurationProblems& problems, ConfigurationProblem problem);
+std::size_t CountOf(const ConfigurationProblems& problems,
+                    ProblemEffect effect);
+std::size_t CountAll(const ConfigurationProblems& problems);
+
 struct Configuration {
   ConfigVersion version;
   std::vector<Route> routes;
   std::vector<ServiceConfig> services;
   CallerLimits limits;
+  ConfigurationProblems problems;
 };
 using ConfigurationPtr = std::shared_ptr<const Configuration>;
 
--- a/src/libs/gateway/forwarder.cc
+++ b/src/libs/gateway/forwarder.cc
@@ -90,9 +90,10 @@
       !forwarder.routes ||
       configuration->version > forwarder.routes->configuration->version;
   if (!is_newer) return;
+  const ConfigurationPtr before = CurrentConfiguration(forwarder);
   forwarder.routes = MakeRouteTable(std::move(configuration), forwarder.random);
   Context context{forwarder, now};
-  Internal::ApplyConfiguration(context);
+  Internal::ApplyConfiguration(context, before.get());
   Internal::RouteWaitingCalls(context);
   PumpQueues(context);
 }
--- a/src/libs/gateway/forwarder_state.h
+++ b/src/libs/gateway/forwarder_state.h
@@ -154,8 +154,9 @@
 // services.cc
 
 /// Installs the services of the current configuration, and applies the list of
-/// servers to them.
-void ApplyConfiguration(Context& context);
+/// servers to them. Logs what cannot be read of it and was not in `before`, the
+/// configuration that it replaces; null for the first one.
+void ApplyConfiguration(Context& context, const Configuration* before);
 /// Replaces the servers of all services by those of the current list. Does
 /// nothing before the first configuration.
 void ApplyServers(Context& context);
--- a/src/libs/gateway/requests.cc
+++ b/src/libs/gateway/requests.cc
@@ -123,6 +123,11 @@
     return;
   }
   call.route = forwarder.routes->configuration->routes[route];
+  if (call.route.services.empty()) {
+    AnswerWithCode(context, id, ResultCode::kRouteUnreadable,
+                   kDefaultRetryAfter);
+    return;
+  }
   call.service = MakeServiceId(NextService(*forwarder.routes, route));
   const Duration timeout = call.request->timeout.value_or(call.route.timeout);
   call.deadline = call.arrived_at + std::min(timeout, call.route.timeout);
--- a/src/libs/gateway/route_table.h
+++ b/src/libs/gateway/route_table.h
@@ -34,8 +34,8 @@
 int FindRoute(const RouteTable& table, std::string_view host,
               std::string_view target);
 
-/// Returns the service for the next request of a route, and advances the
-/// route's cursor.
+/// Returns the service for the next request of a route, which must have one,
+/// and advances the route's cursor.
 const std::string& NextService(RouteTable& table, int route);
 
 }  // namespace ibisladder::gateway
--- a/src/libs/gateway/services.cc
+++ b/src/libs/gateway/services.cc
@@ -14,6 +14,8 @@
 constexpr Duration kShareInterval = Seconds(1);
 /// Maximum number of digests of one service that are sent at a time.
 constexpr std::size_t kMaxDigests = 16;
+/// Maximum number of unreadable items that are logged of each configuration.
+constexpr std::size_t kMaxLoggedProblems = 16;
 /// Minimum score of digests that are sent, in 1/16 nat (log-likelihood ratio).
 /// Lower scores often arise by chance. Since scores are sent only when they
 /// count against a server, the random deviations of many instances would add
@@ -155,6 +157,23 @@
   return it == service.servers.end() ? "unknown" : it->second.entry.name;
 }
 
+/// Logs the problems of `current` that `before` did not have, up to a bound.
+void LogNewProblems(Context& context, const Configuration& current,
+                    const Configuration* before) {
+  static const std::vector<ConfigurationProblem> kNone;
+  const auto& known = before != nullptr ? before->problems.first : kNone;
+  std::size_t n = 0;
+  for (const auto& it : current.problems.first) {
+    if (std::ranges::find(known, it) != known.end()) continue;
+    if (++n > kMaxLoggedProblems) return;
+    Log(context, LogEvent::kConfigurationItemUnreadable,
+        {{"version", std::to_string(current.version.value())},
+         {"item", it.item},
+         {"reason", it.reason},
+         {"effect", EffectName(it.effect)}});
+  }
+}
+
 /// Replaces the servers of one service by those of the current list.
 void ReplaceServers(Context& context, ServiceState& service) {
   auto known = std::move(service.servers);
@@ -233,18 +252,17 @@
   }
 }
 
-void ApplyConfiguration(Context& context) {
+void ApplyConfiguration(Context& context, const Configuration* before) {
   Forwarder& forwarder = context.forwarder;
+  const Configuration& current = *forwarder.routes->configuration;
   for (auto& [id, service] : forwarder.services) service.is_configured = false;
-  for (const auto& it : forwarder.routes->configuration->services) {
-    InstallService(context, it);
-  }
+  for (const auto& it : current.services) InstallService(context, it);
   ApplyServers(context);
+  LogNewProblems(context, current, before);
   Log(context, LogEvent::kConfigurationInstalled,
-      {{"version",
-        std::to_string(forwarder.routes->configuration->version.value())},
-       {"routes",
-        std::to_string(forwarder.routes->configuration->routes.size())}});
+      {{"version", std::to_string(current.version.value())},
+       {"routes", std::to_string(current.routes.size())},
+       {"problems", std::to_string(CountAll(current.problems))}});
 }
 
 void Evaluate(Context& context, ServiceState& service) {
--- a/src/libs/logging/log_writer.cc
+++ b/src/libs/logging/log_writer.cc
@@ -20,6 +20,7 @@
     case LogEvent::kEjectionRefusedByFloor:
     case LogEvent::kDatagramDropped:
     case LogEvent::kConfigurationFetchFailed:
+    case LogEvent::kConfigurationItemUnreadable:
     case LogEvent::kStoreLost:
     case LogEvent::kOperatorRefused:
     case LogEvent::kSocketFailed:
--- a/src/libs/storesync/kv_messages.h
+++ b/src/libs/storesync/kv_messages.h
@@ -73,11 +73,15 @@
   bool has_more = false;
   /// Revision of the store when it replied.
   Revision store_revision;
+  /// Number of items without a readable key, which are left out.
+  std::size_t unreadable_items = 0;
 };
 struct WatchReply {
   std::vector<Change> changes;
   /// Revision up to which the changes are complete.
   Revision store_revision;
+  /// Number of changes without a readable key, which are left out.
+  std::size_t unreadable_items = 0;
 };
 /// The store no longer has the changes after the requested revision.
 struct HistoryLost {};
--- a/src/plugins/fleet/fleet_store_calls.cc
+++ b/src/plugins/fleet/fleet_store_calls.cc
@@ -73,6 +73,19 @@
        {"after_ms", std::to_string(ToMillis(elapsed))}});
 }
 
+void FleetTask::LogUnreadableItems(const OpenCall& call,
+                                   const storesync::Reply& reply) {
+  std::size_t n = 0;
+  if (const auto* it = std::get_if<storesync::RangeReply>(&reply))
+    n = it->unreadable_items;
+  if (const auto* it = std::get_if<storesync::WatchReply>(&reply))
+    n = it->unreadable_items;
+  if (n == 0) return;
+  Log(LogEvent::kServerEntryUnreadable,
+      {{"for", OwnerName(call.owner)},
+       {"reason", std::to_string(n) + " items without a key"}});
+}
+
 /// Only watchers follow changes of the lists; other instances read them only at
 /// the start and to resynchronize. While the store is lost, only the renewals
 /// of the lease check whether it is available again.
@@ -152,6 +165,7 @@
   open_calls_.erase(it);
   if (const auto* failed = std::get_if<storesync::CallFailed>(&reply))
     LogFailedCall(call, *failed);
+  LogUnreadableItems(call, reply);
   TrackStoreAvailability(reply);
   const TimePoint now = net::MonotonicNow();
   switch (owner) {
--- a/src/plugins/fleet/fleet_task.cc
+++ b/src/plugins/fleet/fleet_task.cc
@@ -179,11 +179,8 @@
       unreadable_servers_.erase(key);
       continue;
     }
-    const bool is_known = unreadable_servers_.contains(key);
-    unreadable_servers_[key] = item.changed_at;
-    if (is_known) continue;
-    Log(LogEvent::kServerEntryUnreadable,
-        {{"key", key}, {"reason", entry.error().message}});
+    LogUnreadable(unreadable_servers_, key, item.changed_at,
+                  entry.error().message);
   }
   has_lists_ = has_lists_ || members_view_.is_complete;
   Publish();
@@ -194,17 +191,27 @@
   for (const auto& [key, item] : members_view_.items) {
     gateway::Member member;
     if (!wire::DecodePortable(item.value, member)) {
-      Log(LogEvent::kServerEntryUnreadable,
-          {{"key", key},
-           {"reason", "the value is not a registration of an instance"}});
+      LogUnreadable(unreadable_members_, key, item.changed_at,
+                    "the value is not a registration of an instance");
       continue;
     }
+    unreadable_members_.erase(key);
     lists_.members.insert_or_assign(member.name, std::move(member));
   }
   has_lists_ = has_lists_ || servers_view_.is_complete;
   Publish();
 }
 
+void FleetTask::LogUnreadable(std::map<std::string, storesync::Revision>& known,
+                              const std::string& key,
+                              storesync::Revision changed_at,
+                              const std::string& reason) {
+  const bool is_known = known.contains(key);
+  known[key] = changed_at;
+  if (is_known) return;
+  Log(LogEvent::kServerEntryUnreadable, {{"key", key}, {"reason", reason}});
+}
+
 void FleetTask::Publish() {
   std::vector<gateway::ServerEntry> entries;
   for (const auto& [name, entry] : lists_.servers) entries.push_back(entry);
--- a/src/plugins/fleet/fleet_task.h
+++ b/src/plugins/fleet/fleet_task.h
@@ -164,6 +164,7 @@
   void CancelCalls(CallOwner owner);
   /// Returns the open call of `owner` as logged, such as "list 120 ms".
   std::string DescribeOpenCall(CallOwner owner, TimePoint now) const;
+  void LogUnreadableItems(const OpenCall& call, const storesync::Reply& reply);
   void LogFailedCall(const OpenCall& call, const storesync::CallFailed& failed);
   void UpdateViewPauses();
   void SendDue(storesync::StoreView& view, CallOwner owner);
@@ -175,6 +176,11 @@
   void ApplyConfiguration();
   void ApplyServers();
   void ApplyMembers();
+  /// Logs an entry that cannot be read, and remembers it in `known`, unless it
+  /// is known already.
+  void LogUnreadable(std::map<std::string, storesync::Revision>& known,
+                     const std::string& key, storesync::Revision changed_at,
+                     const std::string& reason);
   void Publish();
   void HandleDatagram(const net::Datagram& datagram);
   void HandleUpdate(const Endpoint& peer, const gateway::ListUpdate& update);
@@ -218,6 +224,7 @@
   std::vector<gateway::Member> members_;
   std::vector<gateway::ServerEntry> published_servers_;
   std::map<std::string, storesync::Revision> unreadable_servers_;
+  std::map<std::string, storesync::Revision> unreadable_members_;
   std::uint64_t last_call_id_ = 0;
   std::uint64_t store_failures_ = 0;
   std::uint64_t restarted_reads_ = 0;
--- a/src/plugins/gateway/gateway_metrics.cc
+++ b/src/plugins/gateway/gateway_metrics.cc
@@ -62,6 +62,41 @@
   }
 }
 
+void AddConfiguration(metrics::Families& families,
+                      const Configuration* configuration) {
+  /// Bounds the number of time series.
+  constexpr std::size_t kMaxItems = 16;
+  static const ConfigurationProblems kNone;
+  const auto& problems =
+      configuration != nullptr ? configuration->problems : kNone;
+  AddGauge(families, "gateway_configuration_version",
+           "Installed version of the configuration",
+           configuration == nullptr
+               ? 0
+               : static_cast<double>(configuration->version.value()));
+  auto& counts = AddFamily(
+      families, "gateway_configuration_problems",
+      "Parts of the installed configuration that cannot be read, by what they "
+      "cost",
+      MetricType::Gauge);
+  for (std::size_t i = 0; i < kProblemEffects; ++i) {
+    const auto effect = static_cast<ProblemEffect>(i);
+    AddSample(counts, static_cast<double>(CountOf(problems, effect)),
+              {{"effect", EffectName(effect)}});
+  }
+  auto& items = AddFamily(
+      families, "gateway_configuration_item_unreadable",
+      "Items of the installed configuration that cannot be read; the first 16",
+      MetricType::Gauge);
+  for (const auto& it : problems.first) {
+    if (items.metric.size() >= kMaxItems) break;
+    AddSample(items, 1,
+              {{"item", it.item},
+               {"reason", it.reason},
+               {"effect", EffectName(it.effect)}});
+  }
+}
+
 }  // namespace
 
 void AddMetrics(metrics::Families& families, const GatewayTask& gateway) {
@@ -76,12 +111,7 @@
              "Ejections of backend servers", counters.ejections);
   AddAnswers(families, counters);
   AddServers(families, forwarder);
-  const auto configuration = CurrentConfiguration(forwarder);
-  AddGauge(families, "gateway_configuration_version",
-           "Installed version of the configuration",
-           configuration == nullptr
-               ? 0
-               : static_cast<double>(configuration->version.value()));
+  AddConfiguration(families, CurrentConfiguration(forwarder).get());
   AddGauge(families, "gateway_suspected_requests",
            "Requests that were lost at a server that may have crashed",
            static_cast<double>(CountSuspected(forwarder)));
--- a/tests/auto/platform/node_test.cc
+++ b/tests/auto/platform/node_test.cc
@@ -63,6 +63,13 @@
            {"target_latency_s", 1},
            {"max_attempts", 2},
            {"service", "s"}}}},
+        {{"entry_kind", "routes"},
+         {"meta", {{"name", "q"}}},
+         {"spec",
+          {{"host", "h"},
+           {"prefix", "/q/"},
+           {"kind", "later"},
+           {"service", "s"}}}},
         {{"entry_kind", "services"},
          {"meta", {{"name", "s"}}},
          {"spec", {{"health_path", "/healthz"}, {"max_conns", 100}}}}}}}
@@ -182,6 +189,12 @@
     Section("its metrics are served", [&] {
       CPPUNIT_ASSERT(observed.metrics.find("ibisladder_") != std::string::npos);
     });
+    Section("they name what cannot be read of the configuration", [&] {
+      CPPUNIT_ASSERT(observed.metrics.find("item=\"routes/q\"") !=
+                     std::string::npos);
+      CPPUNIT_ASSERT(observed.metrics.find("kind \\\"later\\\"") !=
+                     std::string::npos);
+    });
     Section("it stops being ready on SIGTERM, and ends",
             [&] { CPPUNIT_ASSERT_EQUAL(503, observed.ready_after); });
   }
--- a/tests/auto/platform/settings_test.cc
+++ b/tests/auto/platform/settings_test.cc
@@ -38,6 +38,7 @@
   CPPUNIT_TEST_SUITE(SettingsTest);
   CPPUNIT_TEST(FieldsAreParsed);
   CPPUNIT_TEST(AllErrorsAreReported);
+  CPPUNIT_TEST(FieldsWithDefaultsCannotEndTheProcess);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -78,6 +79,24 @@
                      ResultCode::kFileUnreadable);
     });
   }
+
+  /// Guards against one odd value that keeps all instances from starting.
+  void FieldsWithDefaultsCannotEndTheProcess() {
+    const auto settings = ParseSettings(std::string(kText) +
+                                        "floor_share = \"most\"\n"
+                                        "retry_slack = -4\n");
+    CPPUNIT_ASSERT(settings.has_value());
+    CPPUNIT_ASSERT_EQUAL(0.7, settings->floor_ratio);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{50}, settings->retry_slack);
+    CPPUNIT_ASSERT_EQUAL(0.25, settings->retry_ratio);
+    Section("each is reported by its path", [&] {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, settings->problems.size());
+      CPPUNIT_ASSERT_EQUAL(std::string("terms.bounds.floor_share"),
+                           settings->problems.at(0).place);
+      CPPUNIT_ASSERT(settings->problems.at(0).code == ResultCode::kWrongType);
+      CPPUNIT_ASSERT(settings->problems.at(1).code == ResultCode::kOutOfRange);
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SettingsTest);
--- a/tests/auto/platform/store_client_test.cc
+++ b/tests/auto/platform/store_client_test.cc
@@ -40,6 +40,7 @@
   CPPUNIT_TEST_SUITE(StoreClientTest);
   CPPUNIT_TEST(CallsAndRepliesAreConverted);
   CPPUNIT_TEST(FailureReasonsAreDistinguished);
+  CPPUNIT_TEST(UnreadableItemsCostNoOtherItem);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -77,6 +78,40 @@
     });
   }
 
+  /// Guards against one item of the store that makes all servers unknown.
+  void UnreadableItemsCostNoOtherItem() {
+    const storesync::RangeCall list{"p/", ""};
+    const storesync::WatchCall watch{"p/", storesync::Revision(1), Seconds(1)};
+    const std::string items =
+        R"([{"key":"p/a","value":"YQ==","rev":5},)"
+        R"({"key":"p/b","value":"not base64","rev":6},)"
+        R"({"key":"p/c","value":7,"rev":"6"},{"key":8},9,null,)"
+        R"({"key":"p/d","value":"ZA==","rev":7}])";
+    Section("in a list", [&] {
+      const auto reply = Internal::DecodeReply(
+          list, {1, 200, {}, R"({"store_revision":9,"items":)" + items + "}"});
+      const auto& page = std::get<storesync::RangeReply>(reply);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{4}, page.items.size());
+      CPPUNIT_ASSERT_EQUAL(std::string("a"), page.items.at(0).value);
+      CPPUNIT_ASSERT_EQUAL(std::string(), page.items.at(1).value);
+      CPPUNIT_ASSERT_EQUAL(std::string("d"), page.items.at(3).value);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{3}, page.unreadable_items);
+    });
+    Section("in changes", [&] {
+      const auto reply = Internal::DecodeReply(
+          watch,
+          {1, 200, {}, R"({"store_revision":9,"events":)" + items + "}"});
+      const auto& changes = std::get<storesync::WatchReply>(reply);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{4}, changes.changes.size());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{3}, changes.unreadable_items);
+    });
+    Section("a page without any key cannot be continued", [&] {
+      const auto reply = Internal::DecodeReply(
+          list, {1, 200, {}, R"({"truncated":true,"items":[9]})"});
+      CPPUNIT_ASSERT(std::holds_alternative<CallFailed>(reply));
+    });
+  }
+
   void FailureReasonsAreDistinguished() {
     Session it;
     const storesync::RangeCall call{"p/", ""};
--- a/tests/process/entry_fleet.h
+++ b/tests/process/entry_fleet.h
@@ -36,6 +36,8 @@
     int instances = 8;
     int servers = 6;
     double requests_per_second = 120;
+    /// Value of the store's configuration; empty: two routes without problems.
+    std::string configuration;
   };
 
   /// Starts everything except the traffic. Throws std::runtime_error when an
@@ -58,6 +60,9 @@
   void SetCrashingTarget(const std::string& target);
   /// Sends one request to a random instance.
   void SendTo(const std::string& target);
+  /// Returns the statuses of the requests that SendTo sent; 0 without an
+  /// answer.
+  std::vector<int> StatusesOfSent() const;
   /// Returns when servers executed requests that SendTo sent.
   std::vector<TimePoint> ExecutionsOfSent() const;
   /// Kills an instance and starts it again. `instance` counts from 1.
@@ -105,6 +110,7 @@
   std::uint64_t last_call_ = 0;
   int last_ready_status_ = 0;
   std::map<std::uint64_t, FleetCall> calls_;
+  std::map<std::uint64_t, int> sent_statuses_;
 };
 
 }  // namespace ibisladder::process
--- a/tests/process/entry_setup.h
+++ b/tests/process/entry_setup.h
@@ -11,6 +11,9 @@
 /// Value of the configuration: the at-most-once route /charge and the
 /// idempotent route /browse of `host`, both to the service "shop".
 std::string ConfigurationValue(const std::string& host);
+/// The same, but with kinds that this program does not know or that are new,
+/// routes that cannot be read, and an item of an unknown kind.
+std::string PartlyUnreadableConfiguration(const std::string& host);
 /// Value of a backend server's entry.
 std::string ServerValue(const Endpoint& endpoint, int slots);
 
