--- a/src/libs/gateway/answers.cc
+++ b/src/libs/gateway/answers.cc
@@ -90,6 +90,10 @@
     return;
   }
   if (!call.in_flight.empty()) return;
+  if (call.is_streaming) {
+    FinishStream(context, id, 0, ResultCode::kAnswerTruncated);
+    return;
+  }
   const bool may_repeat =
       call.route.repeat == RepeatRule::kIdempotent || !call.may_have_run;
   if (!may_repeat) {
@@ -139,6 +143,22 @@
   return forwarder.calls.contains(call);
 }
 
+/// Reports to the detector a failure after the answer began, when it judged the
+/// attempt.
+void BlameForBrokenStream(Context& context, const Attempt& attempt,
+                          AttemptId id, AttemptEnd end) {
+  const bool is_failure = end != AttemptEnd::kOk && end != AttemptEnd::kShed &&
+                          end != AttemptEnd::kAbandoned;
+  if (!is_failure) return;
+  detection::Detector& detector =
+      *context.forwarder.services.at(attempt.service).detector;
+  detection::AttemptStarted(detector, attempt.server, id, context.now);
+  // The detector weighs timeouts by the time that was waited for the answer.
+  detection::AttemptEnded(detector, id,
+                          end == AttemptEnd::kTimeout ? AttemptEnd::kLost : end,
+                          context.now);
+}
+
 }  // namespace
 
 void EndAttempt(Context& context, AttemptId id, AttemptEnd end) {
@@ -153,10 +173,31 @@
   }
   ServiceState& service = forwarder.services.at(attempt.service);
   detection::AttemptEnded(*service.detector, id, end, context.now);
+  if (attempt.is_streaming) BlameForBrokenStream(context, attempt, id, end);
   routing::AttemptEnded(*service.router, attempt.server, end,
                         context.now - attempt.sent_at, context.now);
 }
 
+void HandleAnswerStart(Context& context, AttemptId id, ServerAnswer head) {
+  Forwarder& forwarder = context.forwarder;
+  const auto it = forwarder.attempts.find(id);
+  if (it == forwarder.attempts.end()) return;
+  const CallId call_id = it->second.call;
+  Call& call = forwarder.calls.at(call_id);
+  if (call.is_streaming || ClassifyAnswer(head) != AttemptEnd::kOk) return;
+  call.is_streaming = true;
+  it->second.is_streaming = true;
+  detection::AttemptEnded(*forwarder.services.at(it->second.service).detector,
+                          id, AttemptEnd::kOk, context.now);
+  for (const AttemptId other : std::vector<AttemptId>(call.in_flight)) {
+    if (other == id) continue;
+    forwarder.actions.emplace_back(CancelAttempt{other});
+    EndAttempt(context, other, AttemptEnd::kAbandoned);
+  }
+  forwarder.actions.emplace_back(
+      StreamAnswer{call_id, id, ToCallerAnswer(std::move(head))});
+}
+
 void HandleAnswer(Context& context, AttemptId id, ServerAnswer answer) {
   Forwarder& forwarder = context.forwarder;
   const auto it = forwarder.attempts.find(id);
@@ -182,7 +223,11 @@
   if (end == AttemptEnd::kOk) {
     CancelOthers(context, call);
     RecordServedCall(context, call_id);
-    Finish(context, call_id, ToCallerAnswer(std::move(answer)));
+    if (call.is_streaming) {
+      FinishStream(context, call_id, answer.status, ResultCode::kDone);
+    } else {
+      Finish(context, call_id, ToCallerAnswer(std::move(answer)));
+    }
     return;
   }
   if (end != AttemptEnd::kShed) call.may_have_run = true;
--- a/src/libs/gateway/forwarder.cc
+++ b/src/libs/gateway/forwarder.cc
@@ -136,6 +136,21 @@
   PumpQueues(context);
 }
 
+void AnswerStarted(Forwarder& forwarder, AttemptId attempt, ServerAnswer head,
+                   TimePoint now) {
+  Context context{forwarder, now};
+  Internal::HandleAnswerStart(context, attempt, std::move(head));
+  PumpQueues(context);
+}
+
+void HoldUpStream(Forwarder& forwarder, CallId call, bool is_held_up,
+                  TimePoint now) {
+  const auto it = forwarder.calls.find(call);
+  if (it == forwarder.calls.end()) return;
+  const bool was_held_up = std::exchange(it->second.is_held_up, is_held_up);
+  if (was_held_up) it->second.held_up_until = now;
+}
+
 void AttemptAnswered(Forwarder& forwarder, AttemptId attempt,
                      ServerAnswer answer, TimePoint now) {
   Context context{forwarder, now};
@@ -248,6 +263,12 @@
   return forwarder.routes ? forwarder.routes->configuration : nullptr;
 }
 
+std::optional<CallId> CallOf(const Forwarder& forwarder, AttemptId attempt) {
+  const auto it = forwarder.attempts.find(attempt);
+  return it == forwarder.attempts.end() ? std::nullopt
+                                        : std::optional(it->second.call);
+}
+
 std::size_t OpenCalls(const Forwarder& forwarder) {
   return forwarder.calls.size();
 }
--- a/src/libs/gateway/forwarder.h
+++ b/src/libs/gateway/forwarder.h
@@ -99,6 +99,16 @@
 /// Call when the caller's connection was closed. Cancels the attempts of an
 /// idempotent request; those of an at-most-once request run to their end.
 void CallerLeft(Forwarder& forwarder, CallId call, TimePoint now);
+/// An answer has started to arrive that is too large to be kept as a whole.
+/// Returns StreamAnswer if it may be passed on as it arrives; the request is
+/// not repeated from then on. AttemptAnswered or AttemptFailed must follow.
+void AnswerStarted(Forwarder& forwarder, AttemptId attempt, ServerAnswer head,
+                   TimePoint now);
+/// The caller begins or ceases to hold up a streamed answer, which is then not
+/// read from the server.
+void HoldUpStream(Forwarder& forwarder, CallId call, bool is_held_up,
+                  TimePoint now);
+/// `answer` has no body if it was streamed.
 void AttemptAnswered(Forwarder& forwarder, AttemptId attempt,
                      ServerAnswer answer, TimePoint now);
 /// `opened_at`: when the attempt's connection was opened, if it was.
@@ -138,6 +148,8 @@
 bool HasConfiguration(const Forwarder& forwarder);
 /// Returns nullptr if no configuration is installed.
 ConfigurationPtr CurrentConfiguration(const Forwarder& forwarder);
+/// Returns the call that an attempt in flight belongs to.
+std::optional<CallId> CallOf(const Forwarder& forwarder, AttemptId attempt);
 /// Returns the number of requests that are not finished.
 std::size_t OpenCalls(const Forwarder& forwarder);
 /// Returns what this instance knows of the limits of servers.
--- a/src/libs/gateway/forwarder_state.h
+++ b/src/libs/gateway/forwarder_state.h
@@ -59,6 +59,9 @@
   ServiceId service;
   BackendServerId server;
   TimePoint sent_at;
+  /// Its answer is being streamed. The detector judged the server when the
+  /// answer began, since the caller's pace decides when it ends.
+  bool is_streaming = false;
 };
 
 /// A request from its arrival to its answer. At most one attempt is in flight;
@@ -77,6 +80,13 @@
   /// Waits for the first configuration and the first list of servers.
   bool awaits_startup = false;
   bool caller_left = false;
+  /// Parts of an answer may have reached the caller, so that the request cannot
+  /// be repeated.
+  bool is_streaming = false;
+  /// The caller takes the streamed answer more slowly than it arrives; and
+  /// until when it last did.
+  bool is_held_up = false;
+  TimePoint held_up_until;
   /// A server may have started to execute it.
   bool may_have_run = false;
   std::vector<AttemptId> in_flight;
@@ -216,9 +226,14 @@
 /// Logs and counts the answer, sends it to the caller unless that has left, and
 /// removes the call.
 void Finish(Context& context, CallId id, CallerAnswer answer);
+/// The same for a call whose answer was streamed. `code` tells why the answer
+/// breaks off; kDone: it is complete.
+void FinishStream(Context& context, CallId id, int status, ResultCode code);
 
 // answers.cc
 
+/// Lets the answer of an attempt be streamed, if it is valid as far as known.
+void HandleAnswerStart(Context& context, AttemptId id, ServerAnswer head);
 void HandleAnswer(Context& context, AttemptId id, ServerAnswer answer);
 void HandleFailure(Context& context, AttemptId id, AttemptFailure failure,
                    std::optional<TimePoint> opened_at);
--- a/src/libs/gateway/messages.h
+++ b/src/libs/gateway/messages.h
@@ -121,6 +121,21 @@
   CallId call;
   CallerAnswer answer;
 };
+/// Passes an answer to the caller while it arrives. `answer` has no body; its
+/// parts follow, and then EndAnswer or BreakAnswer.
+struct StreamAnswer {
+  CallId call;
+  AttemptId attempt;
+  CallerAnswer answer;
+};
+/// The streamed answer is complete.
+struct EndAnswer {
+  CallId call;
+};
+/// The streamed answer cannot be completed; the caller must notice that.
+struct BreakAnswer {
+  CallId call;
+};
 struct SendProbe {
   BackendServerId server;
   Endpoint endpoint;
@@ -157,7 +172,8 @@
   std::vector<BackendServerId> servers;
 };
 
-using Action = std::variant<SendAttempt, CancelAttempt, AnswerCaller, SendProbe,
+using Action = std::variant<SendAttempt, CancelAttempt, AnswerCaller,
+                            StreamAnswer, EndAnswer, BreakAnswer, SendProbe,
                             ShareEvidence, AskPermit, AnswerPermit, ShareLimits,
                             ShareCrashes, ShareLeaving, LogLine>;
 
--- a/src/libs/gateway/requests.cc
+++ b/src/libs/gateway/requests.cc
@@ -28,6 +28,10 @@
 /// about that fast.
 constexpr Duration kHedgeRetryInterval = Millis(100);
 
+/// A server is not blamed for a streamed answer that is incomplete at the
+/// deadline if the caller held it up within this time before.
+constexpr Duration kHeldUpTime = Seconds(1);
+
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusBadGateway = 502;
 constexpr int kStatusUnavailable = 503;
@@ -283,7 +287,8 @@
   Forwarder& forwarder = context.forwarder;
   Call& call = forwarder.calls.at(id);
   const bool may_hedge = call.route.repeat == RepeatRule::kIdempotent &&
-                         !call.caller_left && call.in_flight.size() == 1 &&
+                         !call.caller_left && !call.is_streaming &&
+                         call.in_flight.size() == 1 &&
                          call.attempts < call.route.max_attempts;
   if (!may_hedge || MayHaveCrashed(context, id)) return;
   const Attempt& first = forwarder.attempts.at(call.in_flight.front());
@@ -342,14 +347,23 @@
     routing::RemoveQueued(*forwarder.services.at(call.service).router, id);
   }
   ReleasePermit(context, id);
+  const bool is_held_up =
+      call.is_held_up || context.now - call.held_up_until < kHeldUpTime;
+  const auto end = call.is_streaming && is_held_up
+                       ? detection::AttemptEnd::kAbandoned
+                       : detection::AttemptEnd::kTimeout;
   for (const AttemptId attempt : std::vector<AttemptId>(call.in_flight)) {
     forwarder.actions.emplace_back(CancelAttempt{attempt});
     call.may_have_run = true;
-    EndAttempt(context, attempt, detection::AttemptEnd::kTimeout);
+    EndAttempt(context, attempt, end);
   }
   const ResultCode code = call.may_have_run
                               ? ResultCode::kDeadlineAfterDispatch
                               : ResultCode::kDeadlineBeforeDispatch;
+  if (call.is_streaming) {
+    FinishStream(context, id, 0, code);
+    return;
+  }
   AnswerWithCode(context, id, code, kDefaultRetryAfter);
 }
 
@@ -380,10 +394,11 @@
   metrics::Observe(counters.answers[key], context.now - call.arrived_at);
 }
 
-void Finish(Context& context, CallId id, CallerAnswer answer) {
-  Forwarder& forwarder = context.forwarder;
-  const auto it = forwarder.calls.find(id);
-  Call& call = it->second;
+namespace {
+
+/// Counts and logs the answer of a call, and tells the services of its route.
+void RecordAnswer(Context& context, const Call& call,
+                  const CallerAnswer& answer) {
   const bool is_refused = IsRefusal(answer);
   CountAnswer(context, call, answer);
   RecordOutcome(context, call, answer);
@@ -395,10 +410,33 @@
        {"attempts", std::to_string(call.attempts)},
        {"last_failure", call.last_failure},
        {"took_ms", FormatMillis(context.now - call.arrived_at)}});
-  if (!call.caller_left) {
-    forwarder.actions.emplace_back(AnswerCaller{id, std::move(answer)});
-  }
+}
+
+}  // namespace
+
+void Finish(Context& context, CallId id, CallerAnswer answer) {
+  Forwarder& forwarder = context.forwarder;
+  const auto it = forwarder.calls.find(id);
+  const bool has_left = it->second.caller_left;
+  RecordAnswer(context, it->second, answer);
   forwarder.calls.erase(it);
+  if (has_left) return;
+  forwarder.actions.emplace_back(AnswerCaller{id, std::move(answer)});
+}
+
+void FinishStream(Context& context, CallId id, int status, ResultCode code) {
+  Forwarder& forwarder = context.forwarder;
+  const auto it = forwarder.calls.find(id);
+  CallerAnswer answer;
+  answer.code = code;
+  answer.status = code == ResultCode::kDone ? status : StatusOf(code);
+  RecordAnswer(context, it->second, answer);
+  forwarder.calls.erase(it);
+  if (code == ResultCode::kDone) {
+    forwarder.actions.emplace_back(EndAnswer{id});
+  } else {
+    forwarder.actions.emplace_back(BreakAnswer{id});
+  }
 }
 
 }  // namespace ibisladder::gateway::Internal
--- a/src/libs/http1/message.cc
+++ b/src/libs/http1/message.cc
@@ -1,5 +1,7 @@
 #include "libs/http1/message.h"
 
+#include <array>
+#include <charconv>
 #include <string_view>
 
 namespace ibisladder::http1 {
@@ -70,6 +72,11 @@
   }
 }
 
+void AppendStatusLine(std::string& out, int status) {
+  out.append("HTTP/1.1 ").append(std::to_string(status)).append(" ");
+  out.append(ReasonPhrase(status)).append(kLineEnd);
+}
+
 }  // namespace
 
 const char* FailureName(ParseFailure failure) {
@@ -106,8 +113,7 @@
 std::string FormatResponse(const Response& response, bool close, bool to_head) {
   std::string out;
   out.reserve(512 + response.body.size());
-  out.append("HTTP/1.1 ").append(std::to_string(response.status)).append(" ");
-  out.append(ReasonPhrase(response.status)).append(kLineEnd);
+  AppendStatusLine(out, response.status);
   AppendEndToEnd(out, response.headers);
   const bool bodiless =
       response.status == kNoContent || response.status == kNotModified;
@@ -123,4 +129,33 @@
   return out;
 }
 
+bool HasLength(const Response& response) {
+  return FindHeader(response.headers, "Content-Length") != nullptr &&
+         FindHeader(response.headers, "Transfer-Encoding") == nullptr;
+}
+
+std::string FormatHead(const Response& response, bool close) {
+  std::string out;
+  AppendStatusLine(out, response.status);
+  AppendEndToEnd(out, response.headers);
+  if (HasLength(response)) {
+    AppendField(out, "Content-Length",
+                *FindHeader(response.headers, "Content-Length"));
+  } else {
+    AppendField(out, "Transfer-Encoding", "chunked");
+  }
+  if (close) AppendField(out, "Connection", "close");
+  return out.append(kLineEnd);
+}
+
+std::string FormatChunk(std::string_view part) {
+  constexpr int kHexadecimal = 16;
+  if (part.empty()) return "";
+  std::array<char, 16> digits{};
+  const auto [end, ec] = std::to_chars(
+      digits.data(), digits.data() + digits.size(), part.size(), kHexadecimal);
+  std::string out(digits.data(), end);
+  return out.append(kLineEnd).append(part).append(kLineEnd);
+}
+
 }  // namespace ibisladder::http1
--- a/src/libs/http1/message.h
+++ b/src/libs/http1/message.h
@@ -29,6 +29,8 @@
   std::string body;
   /// Whether the connection may be reused after the response.
   bool keep_alive = true;
+  /// Whether the response may be sent in chunks (HTTP/1.1).
+  bool accepts_chunks = true;
 };
 
 /// A complete response.
@@ -60,6 +62,20 @@
 /// left out and a Content-Length in the headers is kept.
 std::string FormatResponse(const Response& response, bool close, bool to_head);
 
+/// Returns whether the response states the length of its body, other than by
+/// chunks.
+bool HasLength(const Response& response);
+
+/// Returns the bytes of the head of a response whose body follows in parts: as
+/// many bytes as it states, or in chunks.
+std::string FormatHead(const Response& response, bool close);
+
+/// Returns a part of a body that is sent in chunks; "" for an empty part.
+std::string FormatChunk(std::string_view part);
+
+/// Follows the last chunk.
+constexpr std::string_view kLastChunk = "0\r\n\r\n";
+
 }  // namespace ibisladder::http1
 
 #endif  // LIBS_HTTP1_MESSAGE_H_
--- a/src/libs/http1/message_parser.cc
+++ b/src/libs/http1/message_parser.cc
@@ -141,7 +141,7 @@
   const auto method = static_cast<http_method>(parser->method);
   state.requests->push_back({http_method_str(method), std::move(state.target),
                              std::move(state.headers), std::move(state.body),
-                             keep_alive});
+                             keep_alive, parser->http_minor > 0});
   return 0;
 }
 
@@ -251,4 +251,18 @@
 
 bool ResponseParser::in_message() const { return state_->in_message; }
 
+std::size_t ResponseParser::body_bytes() const {
+  return state_->in_message ? state_->body.size() : 0;
+}
+
+Response ResponseParser::PartialHead() const {
+  return {static_cast<int>(state_->parser.status_code), state_->headers, "",
+          http_should_keep_alive(&state_->parser) != 0};
+}
+
+std::string ResponseParser::TakeBody() {
+  state_->pending_bytes = 0;
+  return std::exchange(state_->body, {});
+}
+
 }  // namespace ibisladder::http1
--- a/src/libs/http1/message_parser.h
+++ b/src/libs/http1/message_parser.h
@@ -61,6 +61,15 @@
 
   /// Returns whether a response has started and is incomplete.
   bool in_message() const;
+  /// Number of bytes that were received of the incomplete response's body and
+  /// not taken.
+  std::size_t body_bytes() const;
+  /// Returns the incomplete response without its body. Call only if there are
+  /// bytes of its body.
+  Response PartialHead() const;
+  /// Takes the received part of the incomplete response's body. It counts
+  /// towards no limit any more, and is missing in the complete response.
+  std::string TakeBody();
 
  private:
   explicit ResponseParser(Internal::ParserStatePtr state);
--- a/src/plugins/gateway/caller_connections.cc
+++ b/src/plugins/gateway/caller_connections.cc
@@ -16,11 +16,26 @@
 
 namespace Internal {
 
+/// An answer whose body arrives in parts.
+struct AnswerStream {
+  http1::Response head;
+  bool is_chunked = false;
+  /// Bytes of the body that follow the earlier answers' bytes.
+  std::string waiting;
+  bool is_head_written = false;
+  /// The answer closes the connection.
+  bool closes = false;
+  bool is_ended = false;
+};
+
 /// The answer to one request, in the order of the requests.
 struct PendingAnswer {
   CallId call;
   bool is_head = false;
+  bool accepts_chunks = true;
+  /// One of them, once the answer is there.
   std::optional<http1::Response> response;
+  std::optional<AnswerStream> stream;
   bool close = false;
 };
 
@@ -57,6 +72,7 @@
 
 }  // namespace Internal
 
+using Internal::AnswerStream;
 using Internal::CallerConnection;
 using Internal::PendingAnswer;
 
@@ -158,8 +174,13 @@
 void CallerConnections::OnWritten(bufferevent* /*bev*/, void* connection) {
   auto& it = *static_cast<CallerConnection*>(connection);
   it.last_activity_at = net::MonotonicNow();
-  if (it.closes_when_written && !it.is_lingering)
+  if (it.closes_when_written && !it.is_lingering) {
     it.connections->StartLinger(it);
+    return;
+  }
+  if (it.pending_answers.empty()) return;
+  const PendingAnswer& first = it.pending_answers.front();
+  if (first.stream) it.connections->drained_.emit(first.call);
 }
 
 void CallerConnections::OnEvent(bufferevent* /*bev*/, short what,  // NOLINT
@@ -211,7 +232,8 @@
   for (auto& it : requests) {
     if (connection.discards_input) return;
     const CallId call(++last_call_id_);
-    connection.pending_answers.push_back({call, it.method == "HEAD"});
+    connection.pending_answers.push_back(
+        {call, it.method == "HEAD", it.accepts_chunks});
     connection.discards_input = !it.keep_alive;
     connection_of_call_.emplace(call, id);
     request_.emit(call, it);
@@ -241,22 +263,107 @@
   WriteReadyAnswers(connection);
 }
 
-void CallerConnections::WriteReadyAnswers(CallerConnection& connection) {
-  while (!connection.pending_answers.empty() &&
-         connection.pending_answers.front().response) {
-    const PendingAnswer pending = std::move(connection.pending_answers.front());
-    connection.pending_answers.pop_front();
-    if (pending.close || closes_after_answers_) {
-      connection.discards_input = true;
-    }
-    // Callers take requests behind a closing answer for unread and send them
-    // again, so that those that were passed on are answered first.
-    const bool is_last =
-        connection.discards_input && connection.pending_answers.empty();
-    const std::string bytes =
-        http1::FormatResponse(*pending.response, is_last, pending.is_head);
+CallerConnection* CallerConnections::FindConnection(CallId call) const {
+  const auto it = connection_of_call_.find(call);
+  return it == connection_of_call_.end() ? nullptr
+                                         : connections_.at(it->second).get();
+}
+
+AnswerStream* CallerConnections::FindStream(CallerConnection& connection,
+                                            CallId call) {
+  const auto it =
+      std::ranges::find(connection.pending_answers, call, &PendingAnswer::call);
+  const bool is_started =
+      it != connection.pending_answers.end() && it->stream.has_value();
+  return is_started ? &*it->stream : nullptr;
+}
+
+bool CallerConnections::CanStream(CallId call, bool has_length) const {
+  const CallerConnection* connection = FindConnection(call);
+  if (connection == nullptr || has_length) return true;
+  const auto it = std::ranges::find(connection->pending_answers, call,
+                                    &PendingAnswer::call);
+  return it->accepts_chunks;
+}
+
+void CallerConnections::StartAnswer(CallId call, const http1::Response& head) {
+  CallerConnection* connection = FindConnection(call);
+  if (connection == nullptr) return;
+  const auto it = std::ranges::find(connection->pending_answers, call,
+                                    &PendingAnswer::call);
+  it->stream = AnswerStream{head, !http1::HasLength(head)};
+  WriteReadyAnswers(*connection);
+}
+
+void CallerConnections::AppendToAnswer(CallId call, const std::string& part) {
+  CallerConnection* connection = FindConnection(call);
+  if (connection == nullptr) return;
+  AnswerStream* stream = FindStream(*connection, call);
+  if (stream == nullptr) return;
+  stream->waiting += stream->is_chunked ? http1::FormatChunk(part) : part;
+  WriteReadyAnswers(*connection);
+}
+
+void CallerConnections::EndAnswer(CallId call) {
+  CallerConnection* connection = FindConnection(call);
+  if (connection == nullptr) return;
+  AnswerStream* stream = FindStream(*connection, call);
+  if (stream == nullptr) return;
+  if (stream->is_chunked) stream->waiting += http1::kLastChunk;
+  stream->is_ended = true;
+  connection_of_call_.erase(call);
+  WriteReadyAnswers(*connection);
+}
+
+void CallerConnections::BreakAnswer(CallId call) {
+  const CallerConnection* connection = FindConnection(call);
+  if (connection == nullptr) return;
+  connection_of_call_.erase(call);
+  Close(connection->id);
+}
+
+std::size_t CallerConnections::BacklogOf(CallId call) const {
+  CallerConnection* connection = FindConnection(call);
+  if (connection == nullptr) return 0;
+  const AnswerStream* stream = FindStream(*connection, call);
+  return UnsentBytes(*connection) +
+         (stream == nullptr ? 0 : stream->waiting.size());
+}
+
+bool CallerConnections::IsLastAnswer(CallerConnection& connection) const {
+  if (connection.pending_answers.front().close || closes_after_answers_) {
+    connection.discards_input = true;
+  }
+  // Callers take requests behind a closing answer for unread and send them
+  // again, so that those that were passed on are answered first.
+  return connection.discards_input && connection.pending_answers.size() == 1;
+}
+
+bool CallerConnections::WriteFirstAnswer(CallerConnection& connection) {
+  PendingAnswer& first = connection.pending_answers.front();
+  const auto write = [&connection](const std::string& bytes) {
     bufferevent_write(connection.bev, bytes.data(), bytes.size());
+  };
+  if (first.response) {
+    const bool is_last = IsLastAnswer(connection);
+    write(http1::FormatResponse(*first.response, is_last, first.is_head));
     connection.closes_when_written = is_last;
+    return true;
+  }
+  if (!first.stream) return false;
+  AnswerStream& stream = *first.stream;
+  if (!std::exchange(stream.is_head_written, true)) {
+    stream.closes = IsLastAnswer(connection);
+    write(http1::FormatHead(stream.head, stream.closes));
+  }
+  write(std::exchange(stream.waiting, {}));
+  connection.closes_when_written = stream.is_ended && stream.closes;
+  return stream.is_ended;
+}
+
+void CallerConnections::WriteReadyAnswers(CallerConnection& connection) {
+  while (!connection.pending_answers.empty() && WriteFirstAnswer(connection)) {
+    connection.pending_answers.pop_front();
   }
   connection.last_activity_at = net::MonotonicNow();
   if (!connection.closes_when_written &&
--- a/src/plugins/gateway/caller_connections.h
+++ b/src/plugins/gateway/caller_connections.h
@@ -22,8 +22,9 @@
 namespace ibisladder::gateway {
 
 namespace Internal {
+struct AnswerStream;
 struct CallerConnection;
-}
+}  // namespace Internal
 
 class CallerConnections {
  public:
@@ -40,6 +41,25 @@
   /// Does nothing if the caller has left. With `close` the connection is closed
   /// after the answer.
   void Answer(CallId call, const http1::Response& response, bool close);
+
+  // Answers in parts. All but CanStream do nothing if the caller has left.
+
+  /// Returns whether the caller can take an answer of this length in parts and
+  /// notice if it breaks off.
+  bool CanStream(CallId call, bool has_length) const;
+  /// Starts an answer whose body follows.
+  void StartAnswer(CallId call, const http1::Response& head);
+  void AppendToAnswer(CallId call, const std::string& part);
+  /// Ends a started answer, whose body must be complete.
+  void EndAnswer(CallId call);
+  /// Closes the connection of a started answer that cannot be completed.
+  void BreakAnswer(CallId call);
+  /// Returns the bytes of a started answer that the caller has not taken yet,
+  /// with those of earlier answers.
+  std::size_t BacklogOf(CallId call) const;
+  /// Emitted when the caller has taken all bytes of a started answer.
+  sigc::signal<void(CallId)>& signal_drained() { return drained_; }
+
   /// Closes each connection after its next answer.
   void CloseAfterAnswers() { closes_after_answers_ = true; }
   /// Closes connections without a request in progress.
@@ -77,6 +97,14 @@
                       std::vector<http1::Request>& requests);
   void RejectInput(Internal::CallerConnection& connection, int status);
   void WriteReadyAnswers(Internal::CallerConnection& connection);
+  /// Writes what is there of the first answer. Returns whether it has ended.
+  bool WriteFirstAnswer(Internal::CallerConnection& connection);
+  /// Returns whether the first answer is the last one of the connection.
+  bool IsLastAnswer(Internal::CallerConnection& connection) const;
+  Internal::CallerConnection* FindConnection(CallId call) const;
+  /// Returns null if no answer to the call was started.
+  static Internal::AnswerStream* FindStream(
+      Internal::CallerConnection& connection, CallId call);
   void StartLinger(Internal::CallerConnection& connection);
   void Close(std::uint64_t id);
   bool IsExpired(const Internal::CallerConnection& connection,
@@ -93,6 +121,7 @@
   std::unordered_map<CallId, std::uint64_t> connection_of_call_;
   sigc::signal<void(CallId, http1::Request&)> request_;
   sigc::signal<void(CallId)> caller_left_;
+  sigc::signal<void(CallId)> drained_;
 };
 
 }  // namespace ibisladder::gateway
--- a/src/plugins/gateway/gateway_task.cc
+++ b/src/plugins/gateway/gateway_task.cc
@@ -9,6 +9,13 @@
 constexpr Duration kTickInterval = Millis(25);
 constexpr Duration kSweepInterval = Millis(100);
 constexpr Duration kProbeTimeout = Seconds(1);
+/// Answers with larger bodies are passed on while they arrive, in parts.
+/// Smaller ones are checked as a whole first, so that a request that may be
+/// repeated is sent to another server if its answer breaks off.
+constexpr std::size_t kMaxWholeAnswerBytes = 256U << 10U;
+/// A server's answer is read no further while its caller has not taken this
+/// many bytes.
+constexpr std::size_t kMaxBacklogBytes = 128U << 10U;
 
 }  // namespace
 
@@ -46,15 +53,22 @@
     PerformActions();
   });
   callers_->signal_caller_left().connect([this](CallId id) {
+    // The rest of an answer that runs on is read and dropped.
+    HandleDrained(id);
+    streams_.erase(id);
     CallerLeft(*forwarder_, id, net::MonotonicNow());
     PerformActions();
   });
-  servers_.signal_answer().connect([this](AttemptId id, http1::Response& it) {
-    AttemptAnswered(*forwarder_, id,
-                    options_.codec.decode_answer(std::move(it)),
-                    net::MonotonicNow());
-    PerformActions();
-  });
+  servers_.EnableStreaming(kMaxWholeAnswerBytes);
+  servers_.signal_answer_started().connect(
+      [this](AttemptId id, http1::Response& it) { HandleAnswerStart(id, it); });
+  servers_.signal_answer_part().connect(
+      [this](AttemptId id, const std::string& it) {
+        HandleAnswerPart(id, it);
+      });
+  servers_.signal_answer().connect(
+      [this](AttemptId id, http1::Response& it) { HandleAnswer(id, it); });
+  callers_->signal_drained().connect([this](CallId id) { HandleDrained(id); });
   servers_.signal_failure().connect([this](const ExchangeFailure& it) {
     LogFailure(it);
     const TimePoint now = net::MonotonicNow();
@@ -142,6 +156,42 @@
   PerformActions();
 }
 
+void GatewayTask::HandleAnswerStart(AttemptId attempt, http1::Response& head) {
+  const auto call = CallOf(*forwarder_, attempt);
+  if (!call || !callers_->CanStream(*call, http1::HasLength(head))) return;
+  AnswerStarted(*forwarder_, attempt,
+                options_.codec.decode_answer(std::move(head)),
+                net::MonotonicNow());
+  PerformActions();
+}
+
+void GatewayTask::HandleAnswerPart(AttemptId attempt, const std::string& part) {
+  const auto call = CallOf(*forwarder_, attempt);
+  if (!call) return;
+  callers_->AppendToAnswer(*call, part);
+  if (callers_->BacklogOf(*call) <= kMaxBacklogBytes) return;
+  servers_.SetPaused(attempt, true);
+  HoldUpStream(*forwarder_, *call, true, net::MonotonicNow());
+}
+
+void GatewayTask::HandleAnswer(AttemptId attempt, http1::Response& response) {
+  const auto call = CallOf(*forwarder_, attempt);
+  if (call && streams_.contains(*call)) {
+    callers_->AppendToAnswer(*call, std::exchange(response.body, {}));
+  }
+  AttemptAnswered(*forwarder_, attempt,
+                  options_.codec.decode_answer(std::move(response)),
+                  net::MonotonicNow());
+  PerformActions();
+}
+
+void GatewayTask::HandleDrained(CallId call) {
+  const auto it = streams_.find(call);
+  if (it == streams_.end()) return;
+  servers_.SetPaused(it->second, false);
+  HoldUpStream(*forwarder_, call, false, net::MonotonicNow());
+}
+
 void GatewayTask::LogFailure(const ExchangeFailure& failure) {
   log_.emit(LogLine{
       LogEvent::kAttemptFailed,
@@ -178,6 +228,23 @@
                    close);
 }
 
+void GatewayTask::Perform(StreamAnswer& action) {
+  servers_.Stream(action.attempt);
+  streams_[action.call] = action.attempt;
+  callers_->StartAnswer(action.call,
+                        options_.codec.encode_answer(std::move(action.answer)));
+}
+
+void GatewayTask::Perform(const EndAnswer& action) {
+  streams_.erase(action.call);
+  callers_->EndAnswer(action.call);
+}
+
+void GatewayTask::Perform(const BreakAnswer& action) {
+  streams_.erase(action.call);
+  callers_->BreakAnswer(action.call);
+}
+
 void GatewayTask::Perform(const SendProbe& action) {
   const std::uint64_t id = ++last_probe_id_;
   open_probes_[id] = {action.server, action.server_name};
--- a/src/plugins/gateway/gateway_task.h
+++ b/src/plugins/gateway/gateway_task.h
@@ -95,10 +95,19 @@
   void ConnectSignals();
   void Tick();
   void LogFailure(const ExchangeFailure& failure);
+  /// Ask the forwarder whether an answer may be streamed, and pass on its parts
+  /// no faster than the caller takes them.
+  void HandleAnswerStart(AttemptId attempt, http1::Response& head);
+  void HandleAnswerPart(AttemptId attempt, const std::string& part);
+  void HandleAnswer(AttemptId attempt, http1::Response& response);
+  void HandleDrained(CallId call);
   void PerformActions();
   void Perform(const SendAttempt& action);
   void Perform(const CancelAttempt& action);
   void Perform(AnswerCaller& action);
+  void Perform(StreamAnswer& action);
+  void Perform(const EndAnswer& action);
+  void Perform(const BreakAnswer& action);
   void Perform(const SendProbe& action);
   void Perform(const ShareEvidence& action);
   void Perform(const AskPermit& action);
@@ -120,6 +129,8 @@
   ForwarderPtr forwarder_;
   net::Timer tick_timer_;
   net::Timer sweep_timer_;
+  /// Calls whose answers are streamed, and the attempts that they come from.
+  std::unordered_map<CallId, AttemptId> streams_;
   std::uint64_t last_probe_id_ = 0;
   std::unordered_map<std::uint64_t, Probe> open_probes_;
   sigc::signal<void(const std::vector<detection::Digest>&)> evidence_shared_;
--- a/src/plugins/gateway/server_connections.cc
+++ b/src/plugins/gateway/server_connections.cc
@@ -40,6 +40,9 @@
   std::size_t request_bytes = 0;
   /// Read since the request was sent.
   std::size_t answer_bytes = 0;
+  /// How the answer is received: not decided, as a whole, or in parts.
+  enum class Mode : std::uint8_t { kUndecided, kWhole, kParts };
+  Mode mode = Mode::kUndecided;
   TimePoint idle_since;
   Duration idle_timeout{};
 };
@@ -126,6 +129,7 @@
   connection->attempt = exchange.attempt;
   connection->request_id = std::move(exchange.request_id);
   connection->request_bytes = exchange.bytes.size();
+  connection->mode = ServerConnection::Mode::kUndecided;
   connection->parser.ExpectHead(exchange.is_head);
   connection_of_attempt_[exchange.attempt] = connection->id;
   bufferevent_write(connection->bev, exchange.bytes.data(),
@@ -209,7 +213,11 @@
     }
   }
   const std::uint64_t id = connection.id;
-  if (!responses.empty()) HandleAnswer(connection, responses, !failure);
+  if (!responses.empty()) {
+    HandleAnswer(connection, responses, !failure);
+  } else if (!failure) {
+    StreamAnswer(connection);
+  }
   if (!failure || !connections_.contains(id)) return;
   if (connection.attempt) {
     Fail(connection, AttemptFailure::kTruncated);
@@ -218,6 +226,53 @@
   }
 }
 
+/// Emits what was received of the body, if it is received in parts.
+void ServerConnections::StreamAnswer(ServerConnection& connection) {
+  const std::uint64_t id = connection.id;
+  const bool is_offered =
+      stream_threshold_ > 0 &&
+      connection.mode == ServerConnection::Mode::kUndecided &&
+      connection.parser.body_bytes() >= stream_threshold_;
+  if (is_offered) OfferStream(connection);
+  if (!connections_.contains(id) || !connection.attempt ||
+      connection.mode != ServerConnection::Mode::kParts) {
+    return;
+  }
+  received_bytes_ -= std::exchange(connection.answer_bytes, 0);
+  const std::string part = connection.parser.TakeBody();
+  if (!part.empty()) answer_part_.emit(*connection.attempt, part);
+}
+
+void ServerConnections::OfferStream(ServerConnection& connection) {
+  connection.mode = ServerConnection::Mode::kWhole;
+  http1::Response head = connection.parser.PartialHead();
+  if (matches_request_(head, connection.request_id)) {
+    answer_started_.emit(*connection.attempt, head);
+  }
+}
+
+ServerConnection* ServerConnections::FindByAttempt(AttemptId attempt) {
+  const auto it = connection_of_attempt_.find(attempt);
+  return it == connection_of_attempt_.end() ? nullptr
+                                            : connections_.at(it->second).get();
+}
+
+void ServerConnections::Stream(AttemptId attempt) {
+  if (auto* it = FindByAttempt(attempt)) {
+    it->mode = ServerConnection::Mode::kParts;
+  }
+}
+
+void ServerConnections::SetPaused(AttemptId attempt, bool is_paused) {
+  const auto* it = FindByAttempt(attempt);
+  if (it == nullptr) return;
+  if (is_paused) {
+    bufferevent_disable(it->bev, EV_READ);
+  } else {
+    bufferevent_enable(it->bev, EV_READ);
+  }
+}
+
 void ServerConnections::HandleAnswer(ServerConnection& connection,
                                      std::vector<http1::Response>& responses,
                                      bool is_intact) {
@@ -237,6 +292,8 @@
   if (is_reusable && idle.size() < kMaxIdleConnections) {
     connection.idle_since = net::MonotonicNow();
     connection.idle_timeout = IdleTimeoutOf(response);
+    // The end of an idle connection must be noticed, also after a pause.
+    bufferevent_enable(connection.bev, EV_READ);
     idle.push_back(connection.id);
   } else {
     Close(connection.id);
--- a/src/plugins/gateway/server_connections.h
+++ b/src/plugins/gateway/server_connections.h
@@ -63,6 +63,14 @@
   void Send(ServerExchange exchange);
   /// Closes the attempt's connection; no signal follows.
   void Cancel(AttemptId attempt);
+  /// Lets answers be streamed: at `threshold` bytes of a body,
+  /// `signal_answer_started` is emitted once.
+  void EnableStreaming(std::size_t threshold) { stream_threshold_ = threshold; }
+  /// Call from a handler of `signal_answer_started` to get the body in parts.
+  /// The attempt's last signal then brings the rest of the body, or a failure.
+  void Stream(AttemptId attempt);
+  /// While paused, nothing is read of the attempt's answer.
+  void SetPaused(AttemptId attempt, bool is_paused);
   /// Closes connections that are idle for too long, and fails attempts whose
   /// connection is not opened in time. Call at least twice a second.
   void Sweep(TimePoint now);
@@ -70,6 +78,13 @@
   sigc::signal<void(AttemptId, http1::Response&)>& signal_answer() {
     return answer_;
   }
+  /// An answer, as far as received without its body.
+  sigc::signal<void(AttemptId, http1::Response&)>& signal_answer_started() {
+    return answer_started_;
+  }
+  sigc::signal<void(AttemptId, const std::string&)>& signal_answer_part() {
+    return answer_part_;
+  }
   sigc::signal<void(const ExchangeFailure&)>& signal_failure() {
     return failure_;
   }
@@ -92,6 +107,9 @@
   /// open.
   void HandleAnswer(Internal::ServerConnection& connection,
                     std::vector<http1::Response>& responses, bool is_intact);
+  void StreamAnswer(Internal::ServerConnection& connection);
+  void OfferStream(Internal::ServerConnection& connection);
+  Internal::ServerConnection* FindByAttempt(AttemptId attempt);
   void HandleDisconnect(Internal::ServerConnection& connection, bool is_eof);
   void Fail(Internal::ServerConnection& connection, AttemptFailure failure,
             bool is_connect_timeout = false);
@@ -100,6 +118,8 @@
   net::EventLoop& loop_;
   http1::Limits limits_;
   RequestMatcher matches_request_;
+  /// 0: answers are not streamed.
+  std::size_t stream_threshold_ = 0;
   std::size_t received_bytes_ = 0;
   std::uint64_t last_connection_id_ = 0;
   std::unordered_map<std::uint64_t, std::unique_ptr<Internal::ServerConnection>>
@@ -108,6 +128,8 @@
   /// Most recently used last.
   std::unordered_map<BackendServerId, std::vector<std::uint64_t>> idle_;
   sigc::signal<void(AttemptId, http1::Response&)> answer_;
+  sigc::signal<void(AttemptId, http1::Response&)> answer_started_;
+  sigc::signal<void(AttemptId, const std::string&)> answer_part_;
   sigc::signal<void(const ExchangeFailure&)> failure_;
 };
 
--- a/tests/auto/gateway/forwarder_fixture.cc
+++ b/tests/auto/gateway/forwarder_fixture.cc
@@ -22,6 +22,15 @@
     const bool is_first = fixture.answers.emplace(it.call, it.answer).second;
     CPPUNIT_ASSERT_MESSAGE("call was answered twice", is_first);
   }
+  void operator()(const StreamAnswer& it) const {
+    fixture.streams.push_back(it);
+  }
+  void operator()(const EndAnswer& it) const {
+    fixture.ended_streams.push_back(it.call);
+  }
+  void operator()(const BreakAnswer& it) const {
+    fixture.broken_streams.push_back(it.call);
+  }
   void operator()(const SendProbe& /*probe*/) const {}
   void operator()(const ShareEvidence& it) const {
     fixture.evidence.insert(fixture.evidence.end(), it.digests.begin(),
--- a/tests/auto/gateway/forwarder_fixture.h
+++ b/tests/auto/gateway/forwarder_fixture.h
@@ -20,6 +20,10 @@
   std::vector<SendAttempt> sent;
   std::vector<AttemptId> cancelled;
   std::map<CallId, CallerAnswer> answers;
+  /// Streamed answers, and how they ended.
+  std::vector<StreamAnswer> streams;
+  std::vector<CallId> ended_streams;
+  std::vector<CallId> broken_streams;
   std::vector<detection::Digest> evidence;
   std::vector<AskPermit> permit_requests;
   std::vector<AnswerPermit> permit_replies;
--- a/tests/auto/http1/message_parser_test.cc
+++ b/tests/auto/http1/message_parser_test.cc
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(AmbiguousFramingIsRejected);
   CPPUNIT_TEST(SizeLimitsAreEnforced);
   CPPUNIT_TEST(EndsOfResponsesAreDetected);
+  CPPUNIT_TEST(BodiesCanBeTakenInParts);
   CPPUNIT_TEST(SplitInputGivesSameRequests);
   CPPUNIT_TEST(CorruptedInputGivesNoInvalidRequest);
   CPPUNIT_TEST_SUITE_END();
@@ -138,6 +139,62 @@
     });
   }
 
+  /// Guards against parts that are lost or doubled where a body is passed on
+  /// while it arrives, and against limits that count parts already passed on.
+  void BodiesCanBeTakenInParts() {
+    const auto collect = [](const std::string& bytes, std::size_t step,
+                            std::uint64_t taken) {
+      Limits limits;
+      limits.body_bytes = 64;
+      auto parser = ResponseParser::Create(limits);
+      std::vector<Response> responses;
+      std::string body;
+      for (std::size_t at = 0; at < bytes.size(); at += step) {
+        if (parser.Feed(std::string_view(bytes).substr(at, step), responses)) {
+          return std::string("rejected");
+        }
+        const bool is_taken =
+            (taken >> (at / step % 64)) % 2 == 1 || parser.body_bytes() > 32;
+        if (is_taken && parser.body_bytes() > 0) {
+          CPPUNIT_ASSERT_EQUAL(200, parser.PartialHead().status);
+          body += parser.TakeBody();
+        }
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, responses.size());
+      return body + responses.front().body;
+    };
+    Response head;
+    head.status = 200;
+    CheckProperty("of any size and split, with a length or in chunks",
+                  kSplitSeed, kCases,
+                  [&](std::string text, std::uint8_t step, std::uint64_t taken,
+                      std::uint8_t chunk) {
+                    while (text.size() < 500) text += "padding" + text;
+                    const std::size_t steps = step % 31 + 1;
+                    Response whole = head;
+                    whole.body = text;
+                    RC_ASSERT(collect(FormatResponse(whole, false, false),
+                                      steps, taken) == text);
+                    std::string chunks = FormatHead(head, false);
+                    const std::size_t size = chunk % 97 + 1;
+                    for (std::size_t at = 0; at < text.size(); at += size) {
+                      chunks += FormatChunk(text.substr(at, size));
+                    }
+                    chunks += kLastChunk;
+                    RC_ASSERT(collect(chunks, steps, taken) == text);
+                  });
+    Section("a body beyond the limit that nobody takes is rejected", [&] {
+      Limits limits;
+      limits.body_bytes = 64;
+      auto parser = ResponseParser::Create(limits);
+      std::vector<Response> responses;
+      Response whole = head;
+      whole.body = std::string(65, 'x');
+      CPPUNIT_ASSERT(parser.Feed(FormatResponse(whole, false, false),
+                                 responses) == ParseFailure::kBodyTooLarge);
+    });
+  }
+
   void SplitInputGivesSameRequests() {
     const std::string bytes =
         "GET /a HTTP/1.1\r\nHost: h\r\nX-A: 1\r\n\r\n"
--- a/tests/process/child_process.cc
+++ b/tests/process/child_process.cc
@@ -79,6 +79,17 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+std::size_t ChildProcess::PeakMemory() const {
+  constexpr std::size_t kKilobyte = 1024;
+  std::istringstream status(
+      ReadFile("/proc/" + std::to_string(pid_) + "/status"));
+  for (std::string word; status >> word;) {
+    std::size_t kilobytes = 0;
+    if (word == "VmHWM:" && status >> kilobytes) return kilobytes * kKilobyte;
+  }
+  return 0;
+}
+
 std::string ReadFile(const std::string& path) {
   const std::ifstream file(path);
   std::ostringstream buf;
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -34,6 +34,8 @@
   /// Returns the exit status, -1 when the process was ended by a signal, or
   /// nothing when it still runs after `timeout`.
   std::optional<int> Wait(std::chrono::milliseconds timeout);
+  /// Returns the largest resident memory so far, bytes; 0 if not known.
+  std::size_t PeakMemory() const;
 
  private:
   pid_t pid_ = -1;
--- a/tests/process/entry_setup.cc
+++ b/tests/process/entry_setup.cc
@@ -53,6 +53,14 @@
   return json{{"version", 1}, {"resources", items}}.dump();
 }
 
+std::string DownloadConfiguration(const std::string& host) {
+  json files = Route(host, "files", "/files", "download");
+  files["spec"]["timeout_s"] = 60;
+  json brief = Route(host, "brief", "/brief", "download");
+  brief["spec"]["timeout_s"] = 2;
+  return json{{"version", 1}, {"resources", {files, brief, Service()}}}.dump();
+}
+
 std::string ServerValue(const Endpoint& endpoint, int slots) {
   return json{
       {"addr", FormatEndpoint(endpoint)},
--- a/tests/process/entry_setup.h
+++ b/tests/process/entry_setup.h
@@ -14,6 +14,9 @@
 /// The same, but with kinds that this program does not know or that are new,
 /// routes that cannot be read, and an item of an unknown kind.
 std::string PartlyUnreadableConfiguration(const std::string& host);
+/// Routes /files and, with a timeout of two seconds, /brief, of downloads from
+/// the service "shop".
+std::string DownloadConfiguration(const std::string& host);
 /// Value of a backend server's entry.
 std::string ServerValue(const Endpoint& endpoint, int slots);
 
