--- a/src/libs/base/log_event.cc
+++ b/src/libs/base/log_event.cc
@@ -70,6 +70,8 @@
       return "server_paused";
     case LogEvent::kServerNoticeInvalid:
       return "server_notice_invalid";
+    case LogEvent::kZoneTraffic:
+      return "zone_traffic";
     case LogEvent::kServerEjected:
       return "server_ejected";
     case LogEvent::kServerRestored:
--- a/src/libs/base/log_event.h
+++ b/src/libs/base/log_event.h
@@ -37,6 +37,7 @@
   kPermitDenied = 1108,
   kServerPaused = 1109,
   kServerNoticeInvalid = 1110,
+  kZoneTraffic = 1111,
 
   kServerEjected = 1201,
   kServerRestored = 1202,
--- a/src/libs/gateway/forwarder.cc
+++ b/src/libs/gateway/forwarder.cc
@@ -269,6 +269,11 @@
                                         : std::optional(it->second.call);
 }
 
+bool LeavesZone(const Forwarder& forwarder, AttemptId attempt) {
+  const auto it = forwarder.attempts.find(attempt);
+  return it != forwarder.attempts.end() && it->second.leaves_zone;
+}
+
 std::size_t OpenCalls(const Forwarder& forwarder) {
   return forwarder.calls.size();
 }
--- a/src/libs/gateway/forwarder.h
+++ b/src/libs/gateway/forwarder.h
@@ -150,6 +150,8 @@
 ConfigurationPtr CurrentConfiguration(const Forwarder& forwarder);
 /// Returns the call that an attempt in flight belongs to.
 std::optional<CallId> CallOf(const Forwarder& forwarder, AttemptId attempt);
+/// Returns whether the server of an attempt in flight is in another zone.
+bool LeavesZone(const Forwarder& forwarder, AttemptId attempt);
 /// Returns the number of requests that are not finished.
 std::size_t OpenCalls(const Forwarder& forwarder);
 /// Returns what this instance knows of the limits of servers.
--- a/src/libs/gateway/forwarder_state.h
+++ b/src/libs/gateway/forwarder_state.h
@@ -62,6 +62,8 @@
   /// Its answer is being streamed. The detector judged the server when the
   /// answer began, since the caller's pace decides when it ends.
   bool is_streaming = false;
+  /// The server is in another availability zone.
+  bool leaves_zone = false;
 };
 
 /// A request from its arrival to its answer. At most one attempt is in flight;
--- a/src/libs/gateway/messages.h
+++ b/src/libs/gateway/messages.h
@@ -112,6 +112,8 @@
   CallerRequestPtr request;
   /// Time until the request's deadline.
   Duration time_left{};
+  /// The server is in another availability zone.
+  bool leaves_zone = false;
 };
 /// Closes the attempt's connection, so that the server stops executing it.
 struct CancelAttempt {
--- a/src/libs/gateway/requests.cc
+++ b/src/libs/gateway/requests.cc
@@ -158,8 +158,9 @@
   call.tried.push_back(dispatch.server);
   call.in_flight.push_back(attempt);
   ++call.attempts;
-  forwarder.attempts[attempt] = {id, call.service, dispatch.server,
-                                 context.now};
+  const bool leaves_zone = it->second.entry.zone != forwarder.settings.zone;
+  forwarder.attempts[attempt] = {id,          call.service, dispatch.server,
+                                 context.now, false,        leaves_zone};
   detection::AttemptStarted(*service.detector, dispatch.server, attempt,
                             context.now);
   const ServerEntry& entry = it->second.entry;
@@ -172,7 +173,7 @@
        {"left_ms", FormatMillis(call.deadline - context.now)}});
   forwarder.actions.emplace_back(
       SendAttempt{attempt, dispatch.server, entry.endpoint, entry.name,
-                  call.request, call.deadline - context.now});
+                  call.request, call.deadline - context.now, leaves_zone});
 }
 
 void Accept(Context& context, CallerRequest request) {
--- a/src/plugins/fleet/fleet_datagrams.cc
+++ b/src/plugins/fleet/fleet_datagrams.cc
@@ -53,12 +53,39 @@
   return InstanceId(static_cast<std::uint32_t>(member.incarnation.value()));
 }
 
+gateway::Cargo CargoOf(const std::string& datagram) {
+  switch (static_cast<DatagramKind>(datagram.front())) {
+    case DatagramKind::kEvidence:
+      return gateway::Cargo::kEvidence;
+    case DatagramKind::kLimits:
+    case DatagramKind::kLimitsQuestion:
+    case DatagramKind::kPermitRequest:
+    case DatagramKind::kPermitReply:
+      return gateway::Cargo::kLimits;
+    default:
+      return gateway::Cargo::kOther;
+  }
+}
+
 }  // namespace
 
 void FleetTask::SendTo(const gateway::Member& member,
                        const std::string& bytes) {
-  if (member.name != options_.self.name)
-    peer_socket_->Send(member.peer_endpoint, bytes);
+  if (member.name == options_.self.name) return;
+  if (member.zone != options_.self.zone) {
+    CountBytes(zone_traffic_, CargoOf(bytes), bytes.size());
+  }
+  peer_socket_->Send(member.peer_endpoint, bytes);
+}
+
+void FleetTask::SendToPeer(const Endpoint& peer, const std::string& bytes) {
+  const auto it =
+      std::ranges::find(members_, peer, &gateway::Member::peer_endpoint);
+  if (it != members_.end()) {
+    SendTo(*it, bytes);
+  } else {
+    peer_socket_->Send(peer, bytes);
+  }
 }
 
 void FleetTask::ShareEvidence(const std::vector<detection::Digest>& digests) {
@@ -135,7 +162,7 @@
     const auto first = news.begin() + static_cast<std::ptrdiff_t>(i);
     const std::vector<gateway::LimitNews> part(
         first, first + static_cast<std::ptrdiff_t>(n));
-    peer_socket_->Send(peer, EncodeDatagram(DatagramKind::kLimits, part));
+    SendToPeer(peer, EncodeDatagram(DatagramKind::kLimits, part));
   }
 }
 
@@ -151,7 +178,7 @@
     const std::size_t end =
         std::min(i + kMaxCrashesPerDatagram, requests.size());
     for (std::size_t k = i; k < end; ++k) part.requests.push_back(requests[k]);
-    peer_socket_->Send(peer, EncodeDatagram(DatagramKind::kCrashes, part));
+    SendToPeer(peer, EncodeDatagram(DatagramKind::kCrashes, part));
   }
 }
 
@@ -166,8 +193,7 @@
         std::min(i + kMaxLeavingPerDatagram, servers.size());
     std::vector<BackendServerId> part;
     for (std::size_t k = i; k < end; ++k) part.push_back(servers[k]);
-    peer_socket_->Send(peer,
-                       EncodeDatagram(DatagramKind::kLeavingServers, part));
+    SendToPeer(peer, EncodeDatagram(DatagramKind::kLeavingServers, part));
   }
 }
 
@@ -179,8 +205,8 @@
 }
 
 void FleetTask::AnswerPermit(const gateway::AnswerPermit& answer) {
-  peer_socket_->Send(answer.peer,
-                     EncodeDatagram(DatagramKind::kPermitReply, answer.reply));
+  SendToPeer(answer.peer,
+             EncodeDatagram(DatagramKind::kPermitReply, answer.reply));
 }
 
 void FleetTask::AskForLimitsIfDue(TimePoint now) {
--- a/src/plugins/fleet/fleet_task.cc
+++ b/src/plugins/fleet/fleet_task.cc
@@ -239,7 +239,7 @@
   gateway::RecordUpdate(watch_duty_, update.sender, now);
   HandleAnnouncedVersion(update.sender, update.configuration);
   if (gateway::MustTell(lag_, update.configuration, now) && IsChosenToTell())
-    peer_socket_->Send(peer, EncodeVersion());
+    SendToPeer(peer, EncodeVersion());
   if (is_watching_) return;
   const bool is_same = gateway::ApplyUpdate(lists_, update);
   if (is_same) {
--- a/src/plugins/fleet/fleet_task.h
+++ b/src/plugins/fleet/fleet_task.h
@@ -16,6 +16,7 @@
 #include "libs/gateway/configuration_lag.h"
 #include "libs/gateway/list_updates.h"
 #include "libs/gateway/messages.h"
+#include "libs/gateway/zone_traffic.h"
 #include "libs/net/event_loop.h"
 #include "libs/net/udp_socket.h"
 #include "libs/storesync/registration.h"
@@ -83,6 +84,8 @@
   std::uint64_t store_failures() const { return store_failures_; }
   /// Number of reads that were started again before the open call had ended.
   std::uint64_t restarted_reads() const { return restarted_reads_; }
+  /// Bytes of datagrams that were sent to instances of other zones.
+  const gateway::ZoneTraffic& zone_traffic() const { return zone_traffic_; }
   const gateway::ConfigurationLag& configuration_lag() const { return lag_; }
   /// Returns whether the lists of servers and instances have been known once.
   bool has_lists() const { return has_lists_; }
@@ -196,6 +199,8 @@
   std::string EncodeVersion() const;
   void SendToAll(const std::string& bytes);
   void SendTo(const gateway::Member& member, const std::string& bytes);
+  /// Replies to an instance.
+  void SendToPeer(const Endpoint& peer, const std::string& bytes);
   void Log(LogEvent event, std::vector<LogField> fields);
 
   Options options_;
@@ -225,6 +230,7 @@
   std::vector<gateway::ServerEntry> published_servers_;
   std::map<std::string, storesync::Revision> unreadable_servers_;
   std::map<std::string, storesync::Revision> unreadable_members_;
+  gateway::ZoneTraffic zone_traffic_;
   std::uint64_t last_call_id_ = 0;
   std::uint64_t store_failures_ = 0;
   std::uint64_t restarted_reads_ = 0;
--- a/src/plugins/gateway/gateway_task.cc
+++ b/src/plugins/gateway/gateway_task.cc
@@ -165,7 +165,13 @@
   PerformActions();
 }
 
+void GatewayTask::CountAnswerBytes(AttemptId attempt, std::size_t n) {
+  if (!LeavesZone(*forwarder_, attempt)) return;
+  CountBytes(zone_traffic_, Cargo::kAnswers, n);
+}
+
 void GatewayTask::HandleAnswerPart(AttemptId attempt, const std::string& part) {
+  CountAnswerBytes(attempt, part.size());
   const auto call = CallOf(*forwarder_, attempt);
   if (!call) return;
   callers_->AppendToAnswer(*call, part);
@@ -175,6 +181,8 @@
 }
 
 void GatewayTask::HandleAnswer(AttemptId attempt, http1::Response& response) {
+  CountAnswerBytes(attempt, http1::FormatHead(response, false).size() +
+                                response.body.size());
   const auto call = CallOf(*forwarder_, attempt);
   if (call && streams_.contains(*call)) {
     callers_->AppendToAnswer(*call, std::exchange(response.body, {}));
@@ -212,9 +220,13 @@
 
 void GatewayTask::Perform(const SendAttempt& action) {
   const http1::Request request = options_.codec.encode_attempt(action);
+  std::string bytes = http1::FormatRequest(request, false);
+  if (action.leaves_zone) {
+    CountBytes(zone_traffic_, Cargo::kRequests, bytes.size());
+  }
   servers_.Send({action.attempt, action.server, action.endpoint,
-                 http1::FormatRequest(request, false),
-                 action.request->method == "HEAD", action.request->request_id});
+                 std::move(bytes), action.request->method == "HEAD",
+                 action.request->request_id});
 }
 
 void GatewayTask::Perform(const CancelAttempt& action) {
--- a/src/plugins/gateway/gateway_task.h
+++ b/src/plugins/gateway/gateway_task.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "libs/gateway/forwarder.h"
+#include "libs/gateway/zone_traffic.h"
 #include "libs/net/event_loop.h"
 #include "libs/net/http_client.h"
 #include "plugins/gateway/caller_connections.h"
@@ -87,6 +88,8 @@
   const Forwarder& forwarder() const { return *forwarder_; }
   const CallerConnections& callers() const { return *callers_; }
   const ServerConnections& servers() const { return servers_; }
+  /// Bytes of requests and answers.
+  const ZoneTraffic& zone_traffic() const { return zone_traffic_; }
 
  private:
   GatewayTask(net::EventLoop& loop, const Options& options,
@@ -101,6 +104,7 @@
   void HandleAnswerPart(AttemptId attempt, const std::string& part);
   void HandleAnswer(AttemptId attempt, http1::Response& response);
   void HandleDrained(CallId call);
+  void CountAnswerBytes(AttemptId attempt, std::size_t n);
   void PerformActions();
   void Perform(const SendAttempt& action);
   void Perform(const CancelAttempt& action);
@@ -131,6 +135,7 @@
   net::Timer sweep_timer_;
   /// Calls whose answers are streamed, and the attempts that they come from.
   std::unordered_map<CallId, AttemptId> streams_;
+  ZoneTraffic zone_traffic_;
   std::uint64_t last_probe_id_ = 0;
   std::unordered_map<std::uint64_t, Probe> open_probes_;
   sigc::signal<void(const std::vector<detection::Digest>&)> evidence_shared_;
--- a/src/tools/ibisladder/failure_cause.cc
+++ b/src/tools/ibisladder/failure_cause.cc
@@ -98,10 +98,23 @@
   return cause;
 }
 
+namespace {
+
+/// Adds the bytes of one line; its fields are kinds of bytes.
+void AddZoneTraffic(const LogRecord& record, RequestSummary& summary) {
+  for (const auto& [kind, value] : record.fields) {
+    const std::int64_t n = NumberOf(record, kind, 0);
+    if (n > 0) summary.zone_bytes[kind] += static_cast<std::size_t>(n);
+  }
+}
+
+}  // namespace
+
 RequestSummary Summarise(const LogRecords& logs) {
   RequestSummary summary;
   RequestIndex requests;
   for (const auto& it : logs.records) {
+    if (it.event == LogEvent::kZoneTraffic) AddZoneTraffic(it, summary);
     if (it.event == LogEvent::kProcessStarted) {
       MarkRequestsLost(it.source, requests);
     }
--- a/src/tools/ibisladder/failure_cause.h
+++ b/src/tools/ibisladder/failure_cause.h
@@ -42,6 +42,8 @@
   std::size_t served_after_retry = 0;
   /// Counts of failed attempts that were followed by another one, by reason.
   std::map<std::string, std::size_t> retries_by_reason;
+  /// Bytes exchanged with other availability zones, by what they carried.
+  std::map<std::string, std::size_t> zone_bytes;
 };
 
 RequestSummary Summarise(const LogRecords& logs);
--- a/src/tools/ibisladder/log_commands.cc
+++ b/src/tools/ibisladder/log_commands.cc
@@ -53,17 +53,18 @@
   document["unserved_by_cause"] = CountsJson(summary.unserved_by_cause);
   document["unknown_cause"] = summary.unknown_cause;
   document["retries_by_reason"] = CountsJson(summary.retries_by_reason);
+  document["bytes_between_zones"] = CountsJson(summary.zone_bytes);
   document["unreadable_lines"] = logs.unreadable_lines;
   document["dropped_lines"] = logs.dropped_lines;
   PrintJson(env, document);
 }
 
-std::string CountTable(const std::string& heading,
+std::string CountTable(const std::string& unit, const std::string& heading,
                        const std::map<std::string, std::size_t>& counts) {
   std::vector<std::pair<std::size_t, std::string>> order;
   for (const auto& [name, count] : counts) order.emplace_back(count, name);
   std::ranges::sort(order, std::greater<>());
-  std::vector<TableRow> rows = {{"REQUESTS", heading}};
+  std::vector<TableRow> rows = {{unit, heading}};
   for (const auto& [count, name] : order) {
     rows.push_back({std::to_string(count), name});
   }
@@ -109,8 +110,16 @@
   env.out << summary.requests << " requests, " << summary.served << " served, "
           << summary.served_after_retry << " of them after a retry; "
           << summary.unknown_cause << " unserved with unknown cause\n\n"
-          << CountTable("NOT SERVED BECAUSE", summary.unserved_by_cause) << "\n"
-          << CountTable("SENT AGAIN BECAUSE", summary.retries_by_reason);
+          << CountTable("REQUESTS", "NOT SERVED BECAUSE",
+                        summary.unserved_by_cause)
+          << "\n"
+          << CountTable("REQUESTS", "SENT AGAIN BECAUSE",
+                        summary.retries_by_reason);
+  if (!summary.zone_bytes.empty()) {
+    env.out << "\n"
+            << CountTable("BYTES", "EXCHANGED WITH OTHER ZONES AS",
+                          summary.zone_bytes);
+  }
   return ExitCode::kOk;
 }
 
--- a/tests/auto/ibisladder/log_test.cc
+++ b/tests/auto/ibisladder/log_test.cc
@@ -138,6 +138,17 @@
             [&] { AssertHas(result.out, "1         connection_lost"); });
     Section("lines that instances dropped are reported",
             [&] { AssertHas(result.err, "dropped 12 log lines"); });
+    Section("bytes between zones are added up by kind", [&] {
+      files_["c.log"] =
+          R"({"t":1,"code":1111,"event":"zone_traffic","answers":"70","limits":"0"})"
+          "\n"
+          R"({"t":2,"code":1111,"event":"zone_traffic","answers":"5","evidence":"9"})";
+      const std::string out = Run({"summary", "c.log"}).out;
+      AssertHas(out, "BYTES");
+      AssertHas(out, "75     answers");
+      AssertHas(out, "9      evidence");
+      CPPUNIT_ASSERT(out.find("limits") == std::string::npos);
+    });
     Section("--json prints the same counts as JSON", [&] {
       Options options;
       options.json = true;
