--- a/src/libs/gateway/directory.cc
+++ b/src/libs/gateway/directory.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <tuple>
 
 namespace ibisladder::gateway {
 namespace {
@@ -14,24 +15,47 @@
   return XXH64(member.name.data(), member.name.size(), 0);
 }
 
-std::map<ZoneName, std::vector<const Member*>> ByZone(
-    std::span<const Member> members) {
-  std::map<ZoneName, std::vector<const Member*>> zones;
+using MemberList = std::vector<const Member*>;
+
+/// Returns the members of each zone, those with the largest capacity first.
+std::map<ZoneName, MemberList> ByZone(std::span<const Member> members) {
+  std::map<ZoneName, MemberList> zones;
   for (const Member& it : members) zones[it.zone].push_back(&it);
   for (auto& [zone, list] : zones) {
-    std::ranges::sort(list, {},
-                      [](const Member* it) { return SortKeyOf(*it); });
+    std::ranges::sort(list, [](const Member* a, const Member* b) {
+      return std::tuple(b->millicores, b->link_mbps, SortKeyOf(*a)) <
+             std::tuple(a->millicores, a->link_mbps, SortKeyOf(*b));
+    });
   }
   return zones;
 }
 
+/// Returns how many of a zone's members are advertised. Callers spread evenly
+/// over the advertised instances, so that the smallest of them limits what all
+/// can take: a few large ones may take more than these and many small ones.
+std::size_t CountAdvertised(const MemberList& list,
+                            const DirectorySettings& settings) {
+  constexpr std::size_t kMinInstances = 2;
+  const std::size_t usual = std::min(list.size(), settings.instances_per_zone);
+  // Without the capacity of all, instances count as equal.
+  if (list.back()->millicores == 0) return usual;
+  std::uint64_t total = 0;
+  for (const Member* it : list) total += it->millicores;
+  const std::uint64_t wanted =
+      total * settings.instances_per_zone / list.size();
+  for (std::size_t n = std::min(kMinInstances, usual); n <= list.size(); ++n) {
+    if (n * list[n - 1]->millicores >= wanted) return n;
+  }
+  return usual;
+}
+
 }  // namespace
 
 std::vector<Member> AdvertisedMembers(std::span<const Member> members,
                                       const DirectorySettings& settings) {
   std::vector<Member> result;
   for (const auto& [zone, list] : ByZone(members)) {
-    const std::size_t n = std::min(list.size(), settings.instances_per_zone);
+    const std::size_t n = CountAdvertised(list, settings);
     for (std::size_t i = 0; i < n; ++i) result.push_back(*list[i]);
   }
   return result;
--- a/src/libs/gateway/directory.h
+++ b/src/libs/gateway/directory.h
@@ -1,6 +1,7 @@
 #ifndef LIBS_GATEWAY_DIRECTORY_H_
 #define LIBS_GATEWAY_DIRECTORY_H_
 
+#include <cstdint>
 #include <span>
 #include <string>
 #include <vector>
@@ -23,19 +24,23 @@
   /// TCP; meant for instances that start without the store. Only registered:
   /// nothing connects to it yet.
   Endpoint state_endpoint;
+  /// Processor time that the instance may use, in thousandths of a core, and
+  /// the bandwidth of its link; 0: not known.
+  std::uint32_t millicores = 0;
+  std::uint32_t link_mbps = 0;
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(name, incarnation, zone, caller_endpoint, peer_endpoint,
-            state_endpoint);
+            state_endpoint, millicores, link_mbps);
   }
   friend bool operator==(const Member&, const Member&) = default;
 };
 
 struct DirectorySettings {
-  /// Number of advertised instances in each availability zone. With fewer of
-  /// them, each one sees more requests to every server and keeps more
-  /// connections open.
+  /// In each availability zone, as much processor time is advertised as so many
+  /// of its instances have on average, and no fewer than two instances. With
+  /// fewer instances, each one sees more requests to every server.
   std::size_t instances_per_zone = 4;
   /// Callers in a zone with fewer advertised instances than this also get those
   /// of all other zones.
--- a/src/plugins/fleet/fleet_task.cc
+++ b/src/plugins/fleet/fleet_task.cc
@@ -38,6 +38,25 @@
   return settings;
 }
 
+/// Registration of an instance whose program does not know its capacity yet.
+struct MemberWithoutCapacity {
+  gateway::Member& member;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(member.name, member.incarnation, member.zone,
+            member.caller_endpoint, member.peer_endpoint,
+            member.state_endpoint);
+  }
+};
+
+bool DecodeMember(std::string_view bytes, gateway::Member& member) {
+  if (wire::DecodePortable(bytes, member)) return true;
+  member = {};
+  MemberWithoutCapacity earlier{member};
+  return wire::DecodePortable(bytes, earlier);
+}
+
 }  // namespace
 
 Expected<std::unique_ptr<FleetTask>> FleetTask::Create(
@@ -190,7 +209,7 @@
   lists_.members.clear();
   for (const auto& [key, item] : members_view_.items) {
     gateway::Member member;
-    if (!wire::DecodePortable(item.value, member)) {
+    if (!DecodeMember(item.value, member)) {
       LogUnreadable(unreadable_members_, key, item.changed_at,
                     "the value is not a registration of an instance");
       continue;
--- a/tests/auto/fleet/fleet_task_test.cc
+++ b/tests/auto/fleet/fleet_task_test.cc
@@ -156,6 +156,18 @@
   net::Timer start_;
 };
 
+/// Registration of an instance whose program knows no capacities.
+struct EarlierMember {
+  gateway::Member member;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(member.name, member.incarnation, member.zone,
+            member.caller_endpoint, member.peer_endpoint,
+            member.state_endpoint);
+  }
+};
+
 class FleetTaskTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FleetTaskTest);
   CPPUNIT_TEST(LostWatchIsReplacedAfterOutage);
@@ -167,9 +179,48 @@
   CPPUNIT_TEST(WatcherThatIsBehindIsTold);
   CPPUNIT_TEST(WatcherTellsOtherZonesANewVersion);
   CPPUNIT_TEST(MalformedDatagramsAreDropped);
+  CPPUNIT_TEST(InstancesOfAnEarlierProgramAreKnown);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  /// Guards against a fleet that falls apart while its program is replaced, and
+  /// against one entry that hides the others.
+  void InstancesOfAnEarlierProgramAreKnown() {
+    EarlierMember earlier;
+    earlier.member.name = "n7";
+    earlier.member.zone = ZoneName("a");
+    earlier.member.caller_endpoint = {"10.0.0.7", 1};
+    gateway::Member current = earlier.member;
+    current.name = "n8";
+    current.caller_endpoint = {"10.0.0.8", 1};
+    current.millicores = 100;
+    const auto script =
+        [&](const storesync::Call& call) -> std::optional<ScriptedReply> {
+      const auto* range = std::get_if<storesync::RangeCall>(&call);
+      if (range == nullptr || range->prefix != "members/")
+        return ReplyOfEmptyStore(call);
+      return ScriptedReply{storesync::RangeReply{
+          {{"members/n6", "unreadable", Revision(1)},
+           {"members/n7", wire::EncodePortable(earlier), Revision(2)},
+           {"members/n8", wire::EncodePortable(current), Revision(3)}},
+          false,
+          Revision(5)}};
+    };
+    auto loop = std::move(*net::EventLoop::Create());
+    auto task = std::move(
+        *FleetTask::Create(*loop, MakeOptions("n1", kInstancePort),
+                           std::make_unique<ScriptedStore>(*loop, script)));
+    int unreadable = 0;
+    task->signal_log().connect([&](const LogLine& it) {
+      unreadable += it.event == LogEvent::kServerEntryUnreadable ? 1 : 0;
+    });
+    const net::Timer end(*loop, net::Timer::Kind::kOnce, Seconds(2),
+                         [&] { loop->Stop(); });
+    loop->Run();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, task->members());
+    CPPUNIT_ASSERT_EQUAL(1, unreadable);
+  }
+
   /// While the store is silent, the open watch on the configuration is lost and
   /// never returns. Without a new list, the instance would keep the old
   /// version.
--- a/tests/auto/gateway/directory_test.cc
+++ b/tests/auto/gateway/directory_test.cc
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(EachInstanceKnowsWhetherItIsAdvertised);
   CPPUNIT_TEST(AdvertisedInstancesOfAZoneHaveDifferentPlaces);
   CPPUNIT_TEST(OneAddressChangesWhenAnInstanceLeaves);
+  CPPUNIT_TEST(LargeInstancesAreAdvertisedFirst);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -99,6 +100,65 @@
     });
     CPPUNIT_ASSERT_EQUAL(before.size() - 1, static_cast<std::size_t>(kept));
   }
+
+  /// A zone in which most instances have a fifth of the processor time of a
+  /// few. Guards against callers who wait at small instances, or lose their
+  /// requests there, while large ones are idle.
+  void LargeInstancesAreAdvertisedFirst() {
+    const auto with_capacities = [](const std::vector<int>& millicores) {
+      std::vector<Member> members;
+      for (std::size_t i = 0; i < millicores.size(); ++i) {
+        Member member;
+        member.name = "n" + std::to_string(i);
+        member.zone = ZoneName("a");
+        member.millicores = static_cast<std::uint32_t>(millicores[i]);
+        members.push_back(member);
+      }
+      return members;
+    };
+    const auto advertised = [](const std::vector<Member>& members) {
+      std::vector<std::uint32_t> result;
+      for (const Member& it : AdvertisedMembers(members, {})) {
+        result.push_back(it.millicores);
+      }
+      return result;
+    };
+    using List = std::vector<std::uint32_t>;
+    std::vector<int> mixed(30, 100);
+    mixed[7] = 500;
+    mixed[19] = 500;
+    Section("alone, if they have as much as four average ones", [&] {
+      CPPUNIT_ASSERT(advertised(with_capacities(mixed)) == (List{500, 500}));
+    });
+    Section("with small ones once a large one has left, as many as it takes",
+            [&] {
+              mixed[7] = 100;
+              CPPUNIT_ASSERT(advertised(with_capacities(mixed)) ==
+                             (List{500, 100, 100, 100, 100}));
+            });
+    Section("equal ones are advertised by their number", [&] {
+      CPPUNIT_ASSERT_EQUAL(
+          std::size_t{4},
+          advertised(with_capacities(std::vector<int>(30, 200))).size());
+    });
+    Section("one that does not tell its capacity counts as the others", [&] {
+      mixed[3] = 0;
+      CPPUNIT_ASSERT_EQUAL(std::size_t{4},
+                           advertised(with_capacities(mixed)).size());
+    });
+    Section("of equal processor time, those with the faster link come first",
+            [&] {
+              auto members = with_capacities(std::vector<int>(30, 200));
+              members[11].link_mbps = 200;
+              CPPUNIT_ASSERT_EQUAL(members[11].name,
+                                   AdvertisedMembers(members, {}).at(0).name);
+            });
+    Section("zones of one or no instance", [&] {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                           advertised(with_capacities({100})).size());
+      CPPUNIT_ASSERT(advertised({}).empty());
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DirectoryTest);
--- a/tests/auto/http1/message_parser_test.cc
+++ b/tests/auto/http1/message_parser_test.cc
@@ -148,9 +148,10 @@
       limits.body_bytes = 64;
       auto parser = ResponseParser::Create(limits);
       std::vector<Response> responses;
+      const std::string_view input = bytes;
       std::string body;
-      for (std::size_t at = 0; at < bytes.size(); at += step) {
-        if (parser.Feed(std::string_view(bytes).substr(at, step), responses)) {
+      for (std::size_t at = 0; at < input.size(); at += step) {
+        if (parser.Feed(input.substr(at, step), responses)) {
           return std::string("rejected");
         }
         const bool is_taken =
--- a/tests/auto/platform/configuration_codec_test.cc
+++ b/tests/auto/platform/configuration_codec_test.cc
@@ -324,7 +324,7 @@
               "/spec/max_attempts"_json_pointer};
           const auto& place = places[field % places.size()];
           if (is_removed && !place.empty()) {
-            const auto name = place.back();
+            const std::string& name = place.back();
             auto& parent = item.at(place.parent_pointer());
             if (parent.is_object()) parent.erase(name);
           } else {
