--- a/src/plugins/gateway/gateway_task.cc
+++ b/src/plugins/gateway/gateway_task.cc
@@ -165,13 +165,10 @@
   PerformActions();
 }
 
-void GatewayTask::CountAnswerBytes(AttemptId attempt, std::size_t n) {
-  if (!LeavesZone(*forwarder_, attempt)) return;
-  CountBytes(zone_traffic_, Cargo::kAnswers, n);
-}
-
 void GatewayTask::HandleAnswerPart(AttemptId attempt, const std::string& part) {
-  CountAnswerBytes(attempt, part.size());
+  if (LeavesZone(*forwarder_, attempt)) {
+    CountBytes(zone_traffic_, Cargo::kAnswers, part.size());
+  }
   const auto call = CallOf(*forwarder_, attempt);
   if (!call) return;
   callers_->AppendToAnswer(*call, part);
@@ -181,8 +178,11 @@
 }
 
 void GatewayTask::HandleAnswer(AttemptId attempt, http1::Response& response) {
-  CountAnswerBytes(attempt, http1::FormatHead(response, false).size() +
-                                response.body.size());
+  if (LeavesZone(*forwarder_, attempt)) {
+    CountBytes(
+        zone_traffic_, Cargo::kAnswers,
+        http1::FormatHead(response, false).size() + response.body.size());
+  }
   const auto call = CallOf(*forwarder_, attempt);
   if (call && streams_.contains(*call)) {
     callers_->AppendToAnswer(*call, std::exchange(response.body, {}));
--- a/src/plugins/gateway/gateway_task.h
+++ b/src/plugins/gateway/gateway_task.h
@@ -104,7 +104,6 @@
   void HandleAnswerPart(AttemptId attempt, const std::string& part);
   void HandleAnswer(AttemptId attempt, http1::Response& response);
   void HandleDrained(CallId call);
-  void CountAnswerBytes(AttemptId attempt, std::size_t n);
   void PerformActions();
   void Perform(const SendAttempt& action);
   void Perform(const CancelAttempt& action);
