Show that instances without a path to the servers refuse their callers

The simulation of a fleet gets partitions between instances and all servers: connections hang, are reset, or live on while new ones are refused.

--- a/tests/auto/gateway/fleet_simulation.cc
+++ b/tests/auto/gateway/fleet_simulation.cc
@@ -6,6 +6,7 @@
 
 #include "tests/auto/gateway/fleet_crashes.h"
 #include "tests/auto/gateway/fleet_exchange.h"
+#include "tests/auto/gateway/fleet_paths.h"
 
 namespace ibisladder::gateway {
 namespace {
@@ -39,6 +40,7 @@
 
 void AnswerFrom(FleetSimulation& fleet, const SimulatedServer& server,
                 const ServerRequest& request, int status, bool not_run) {
+  if (!GetsAnswers(fleet, request.instance)) return;
   ServerAnswer answer;
   answer.status = status;
   answer.not_run = not_run;
@@ -98,6 +100,9 @@
 
 void Deliver(FleetSimulation& fleet, std::size_t instance,
              const SendAttempt& attempt) {
+  if (!HasPath(fleet, instance) && FailWithoutPath(fleet, instance, attempt)) {
+    return;
+  }
   SimulatedServer& server = fleet.servers.at(attempt.server_name);
   fleet.sent.push_back({fleet.now, attempt.server_name, instance,
                         attempt.request->target,
@@ -159,6 +164,7 @@
       std::erase_if(server.running, is_cancelled);
       std::erase_if(server.waiting, is_cancelled);
     }
+    std::erase_if(fleet.hung_connects, is_cancelled);
   }
 }
 
@@ -220,6 +226,7 @@
   }
   DropCancelled(fleet);
   StartCrashedServers(fleet);
+  FailHungConnects(fleet);
   FinishDue(fleet);
   ArriveDue(fleet, requests_per_second);
   DeliverAll(fleet);
--- a/tests/auto/gateway/fleet_simulation.h
+++ b/tests/auto/gateway/fleet_simulation.h
@@ -24,6 +24,13 @@
   kAnswersNothing,  ///< Requests end at their deadline.
 };
 
+/// What a partition from the servers does to an instance's connections.
+enum class PathLoss : std::uint8_t {
+  kHangs,                  ///< No packet arrives any more.
+  kResets,                 ///< Open ones are reset, new ones refused.
+  kRefusesNewConnections,  ///< Open ones live on.
+};
+
 /// A request at a server.
 struct ServerRequest {
   std::size_t instance = 0;
@@ -97,6 +104,11 @@
   std::vector<Member> members;
   /// Instances whose messages to and from other instances are lost.
   std::set<std::size_t> cut_off;
+  /// Instances that reach no server; see CutPaths.
+  std::set<std::size_t> without_path;
+  PathLoss path_loss = PathLoss::kHangs;
+  /// Attempts whose connect hangs, and when the instance gives it up.
+  std::vector<ServerRequest> hung_connects;
   std::size_t permit_messages = 0;
   std::map<std::string, SimulatedServer> servers;
   /// Idle connections: when each was last used, by instance and server.
