--- a/tests/auto/gateway/server_connections_test.cc
+++ b/tests/auto/gateway/server_connections_test.cc
@@ -137,6 +137,7 @@
   CPPUNIT_TEST(AnswerThatArrivedBeforeTheRequestIsNotItsAnswer);
   CPPUNIT_TEST(RequestsAreNotSentOnConnectionsThatEnded);
   CPPUNIT_TEST(FailuresAgreeWithWhatTheServerRead);
+  CPPUNIT_TEST(SpareConnectionsShowWhetherAServerIsReached);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -200,6 +201,46 @@
     CPPUNIT_ASSERT_EQUAL(0, failures);
   }
 
+  void SpareConnectionsShowWhetherAServerIsReached() {
+    auto loop = std::move(*net::EventLoop::Create());
+    const Endpoint endpoint{"127.0.0.1", kPorts.At(13)};
+    ServerConnections servers(*loop, {}, &MatchesRequest);
+    std::vector<bool> results;
+    servers.signal_spare_ended().connect([&](BackendServerId, bool is_open) {
+      results.push_back(is_open);
+      loop->Stop();
+    });
+    RawServer server(*loop, endpoint,
+                     "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", false);
+    Section("one that opens carries the next request", [&] {
+      servers.OpenSpare(BackendServerId(1), endpoint);
+      loop->Run();
+      CPPUNIT_ASSERT(results == std::vector<bool>{true});
+      servers.Sweep(net::MonotonicNow());
+      CPPUNIT_ASSERT(Exchange(*loop, servers, endpoint, 1).answer);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server.connections());
+    });
+    Section("connections without a request can be closed", [&] {
+      servers.CloseIdle(BackendServerId(1));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, servers.open_connections());
+    });
+    Section("a port without a listener is not reached", [&] {
+      results.clear();
+      servers.OpenSpare(BackendServerId(2), {"127.0.0.1", kPorts.At(14)});
+      loop->Run();
+      CPPUNIT_ASSERT(results == std::vector<bool>{false});
+    });
+    Section("nor is an address that does not answer in time", [&] {
+      results.clear();
+      servers.OpenSpare(BackendServerId(3), {"nowhere", 1});
+      servers.Sweep(net::MonotonicNow());
+      CPPUNIT_ASSERT(results.empty());
+      servers.Sweep(net::MonotonicNow() + kStall);
+      CPPUNIT_ASSERT(results == std::vector<bool>{false});
+    });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, servers.open_connections());
+  }
+
   void FailedExchangesAreReported() {
     auto loop = std::move(*net::EventLoop::Create());
     ServerConnections servers(*loop, {}, &MatchesRequest);
