--- a/tests/auto/platform/item_codec_test.cc
+++ b/tests/auto/platform/item_codec_test.cc
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(ServerEntriesAreParsed);
   CPPUNIT_TEST(InvalidServerEntriesAreRejected);
   CPPUNIT_TEST(CorruptItemsAreHandled);
+  CPPUNIT_TEST(OddEntriesCostNoMemoryAndNameNoServer);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -54,6 +55,56 @@
     });
   }
 
+  /// Guards against one odd entry among the others that stalls or ends all
+  /// instances: parsing a megabyte of nested lists takes over 70 MB and half a
+  /// second of a whole core, at each change of any server.
+  void OddEntriesCostNoMemoryAndNameNoServer() {
+    const auto with = [](const std::string& value) {
+      std::string text(kServer);
+      return text.insert(1, "\"x\":" + value + ",");
+    };
+    const auto reason = [](const std::string& value) {
+      const auto entry = ParseServer("servers/i-1", value);
+      return entry ? std::string() : entry.error().message;
+    };
+    Section("nesting is bounded", [&] {
+      for (const std::size_t depth : {100, 10000, 500000}) {
+        const std::string open(depth, '[');
+        const std::string closed = open + "1" + std::string(depth, ']');
+        for (const auto& it : {with(closed), open, "{\"info\":" + open}) {
+          const std::string expected = it.size() > (64U << 10U)
+                                           ? "the entry is too large"
+                                           : "the entry is nested too deeply";
+          CPPUNIT_ASSERT_EQUAL(expected, reason(it));
+        }
+      }
+    });
+    Section("brackets in texts are no nesting", [&] {
+      const std::string text = "\"" + std::string(100, '[') + "\\\"{{\"";
+      CPPUNIT_ASSERT_EQUAL(std::string(), reason(with(text)));
+    });
+    Section("so is the size", [&] {
+      CPPUNIT_ASSERT_EQUAL(
+          std::string("the entry is too large"),
+          reason(with("\"" + std::string(1U << 20U, 'x') + "\"")));
+    });
+    Section("numbers that are too large, and ports out of range", [&] {
+      for (const char* it : {"65536", "0", "-1", "99999999999999999999"}) {
+        CPPUNIT_ASSERT(!IsValidServer(
+            Replace(kServer, "127.0.0.1:80", std::string("127.0.0.1:") + it)));
+      }
+      for (const char* it : {"1e400", "-1e400", "1e308", "99999999999999999999",
+                             "18446744073709551615", "-9223372036854775809"}) {
+        CPPUNIT_ASSERT(!IsValidServer(
+            Replace(kServer, ":4}", std::string(":") + it + "}")));
+        // Read or refused, but not beyond what follows can hold.
+        const auto entry = ParseServer(
+            "servers/i-1", Replace(kServer, ":0.5", std::string(":") + it));
+        CPPUNIT_ASSERT(!entry || entry->warm_up_left <= Seconds(60));
+      }
+    });
+  }
+
   void InvalidServerEntriesAreRejected() {
     Section("bytes that are not JSON",
             [] { CPPUNIT_ASSERT(!IsValidServer("{\"a")); });
