Trust no earlier answer that a server writes once more on a kept connection

It can happen here in two ways, each with a test that failed before: - A request that a server refused was repeated on the same connection, where the copy of its refusal carries the ID of the repetition. A request is no longer sent on a connection that has carried its ID (EarlierRefusalIsNotTheAnswerToARepetition: 1 connection before, 2 now). - An answer without an ID was taken for that of the current request. On a connection that has carried other requests it now ends the exchange as a broken answer, so that the request may have run (AnswerWithoutAnIdOnAUsedConnectionIsNotTrusted, statuses 503, 200 and 500). A copy with another request's ID was dropped before.

Three tests sent two different requests with one ID on one connection, or answered them without an ID; they now use different IDs, or none, and check the same.

--- a/src/plugins/gateway/gateway_task.cc
+++ b/src/plugins/gateway/gateway_task.cc
@@ -319,7 +319,7 @@
   }
   servers_.Send({action.attempt, action.server, action.endpoint,
                  std::move(bytes), action.request->method == "HEAD",
-                 action.request->request_id});
+                 action.request->request_id, action.relay.has_value()});
 }
 
 void GatewayTask::Perform(const CancelAttempt& action) {
--- a/src/plugins/gateway/server_connections.cc
+++ b/src/plugins/gateway/server_connections.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <deque>
 #include <optional>
 #include <utility>
 
@@ -39,6 +40,9 @@
   /// Empty while the connection is idle.
   std::optional<AttemptId> attempt;
   std::string request_id;
+  bool is_instance = false;
+  /// Hashes of the IDs of earlier requests on this connection, latest last.
+  std::deque<std::size_t> earlier_ids;
   std::size_t request_bytes = 0;
   /// Read since the request was sent.
   std::size_t answer_bytes = 0;
@@ -63,6 +67,9 @@
 /// Subtracted from the idle timeout that a server advertises.
 constexpr Duration kIdleMargin = Seconds(1);
 constexpr std::size_t kMaxIdleConnections = 4;
+/// Number of earlier requests of a connection whose answers may come once more;
+/// a request is repeated within seconds.
+constexpr std::size_t kMaxEarlierIds = 64;
 constexpr std::size_t kReadBufferBytes = 16384;
 /// Maximum size of all answers together that are not complete. They must fit an
 /// instance of 260 MB while strings grow by doubling.
@@ -90,6 +97,10 @@
   return std::max(*advertised - kIdleMargin, *advertised / 2);
 }
 
+std::size_t HashOf(const std::string& request_id) {
+  return std::hash<std::string>()(request_id);
+}
+
 std::size_t UnsentBytes(const ServerConnection& connection) {
   return evbuffer_get_length(bufferevent_get_output(connection.bev));
 }
@@ -126,12 +137,13 @@
 ServerConnections::~ServerConnections() = default;
 
 void ServerConnections::Send(ServerExchange exchange) {
-  ServerConnection* connection = TakeIdle(exchange.server);
+  ServerConnection* connection = TakeIdle(exchange);
   if (connection == nullptr) {
     connection = &Open(exchange.server, exchange.endpoint);
   }
   connection->attempt = exchange.attempt;
   connection->request_id = std::move(exchange.request_id);
+  connection->is_instance = exchange.is_instance;
   connection->request_bytes = exchange.bytes.size();
   connection->mode = ServerConnection::Mode::kUndecided;
   connection->parser.ExpectHead(exchange.is_head);
@@ -140,18 +152,26 @@
                     exchange.bytes.size());
 }
 
-ServerConnection* ServerConnections::TakeIdle(BackendServerId server) {
-  auto it = idle_.find(server);
-  while (it != idle_.end() && !it->second.empty()) {
-    const std::uint64_t id = it->second.back();
-    ServerConnection* connection = connections_.at(id).get();
-    const Duration age = net::MonotonicNow() - connection->idle_since;
-    if (age <= connection->idle_timeout && !HasInput(*connection)) {
-      it->second.pop_back();
-      return connection;
+ServerConnection* ServerConnections::TakeIdle(const ServerExchange& exchange) {
+  const auto idle = idle_.find(exchange.server);
+  if (idle == idle_.end()) return nullptr;
+  const std::vector<std::uint64_t> ids(idle->second.rbegin(),
+                                       idle->second.rend());
+  for (const std::uint64_t id : ids) {
+    ServerConnection& connection = *connections_.at(id);
+    const Duration age = net::MonotonicNow() - connection.idle_since;
+    if (age > connection.idle_timeout || HasInput(connection)) {
+      Close(id);
+      continue;
     }
-    Close(id);
-    it = idle_.find(server);
+    // The server may write its earlier answer to a repeated request once more.
+    const bool is_repeated = !exchange.request_id.empty() &&
+                             std::ranges::find(connection.earlier_ids,
+                                               HashOf(exchange.request_id)) !=
+                                 connection.earlier_ids.end();
+    if (is_repeated) continue;
+    std::erase(idle_.at(exchange.server), id);
+    return &connection;
   }
   return nullptr;
 }
@@ -284,7 +304,7 @@
 void ServerConnections::OfferStream(ServerConnection& connection) {
   connection.mode = ServerConnection::Mode::kWhole;
   http1::Response head = connection.parser.PartialHead();
-  if (matches_request_(head, connection.request_id)) {
+  if (Match(connection, head) == AnswerMatch::kMatches) {
     answer_started_.emit(*connection.attempt, head);
   }
 }
@@ -311,14 +331,33 @@
   }
 }
 
+AnswerMatch ServerConnections::Match(const ServerConnection& connection,
+                                     const http1::Response& response) const {
+  const AnswerMatch match = matches_request_(response, connection.request_id);
+  // On a new connection, no other request can be meant.
+  const bool is_certain = connection.is_instance ||
+                          connection.request_id.empty() ||
+                          connection.earlier_ids.empty();
+  return match == AnswerMatch::kUnnamed && is_certain ? AnswerMatch::kMatches
+                                                      : match;
+}
+
 void ServerConnections::HandleAnswer(ServerConnection& connection,
                                      std::vector<http1::Response>& responses,
                                      bool is_intact) {
   const auto it = std::ranges::find_if(responses, [&](const auto& response) {
-    return matches_request_(response, connection.request_id);
+    return Match(connection, response) != AnswerMatch::kOther;
   });
   if (it == responses.end()) return;
+  if (Match(connection, *it) == AnswerMatch::kUnnamed) {
+    Fail(connection, AttemptFailure::kTruncated);
+    return;
+  }
   http1::Response response = std::move(*it);
+  connection.earlier_ids.push_back(HashOf(connection.request_id));
+  if (connection.earlier_ids.size() > kMaxEarlierIds) {
+    connection.earlier_ids.pop_front();
+  }
   const AttemptId attempt = *std::exchange(connection.attempt, std::nullopt);
   connection_of_attempt_.erase(attempt);
   received_bytes_ -= std::exchange(connection.answer_bytes, 0);
--- a/src/plugins/gateway/server_connections.h
+++ b/src/plugins/gateway/server_connections.h
@@ -4,6 +4,7 @@
 #include <event2/bufferevent.h>
 #include <sigc++/sigc++.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -27,6 +28,16 @@
   bool is_head = false;
   /// ID of the request; answers to other requests are dropped.
   std::string request_id;
+  /// The endpoint is another instance, which names the request only in answers
+  /// of servers, and answers once.
+  bool is_instance = false;
+};
+
+/// Whether an answer belongs to a request.
+enum class AnswerMatch : std::uint8_t {
+  kOther,    ///< It names another request.
+  kUnnamed,  ///< It names none.
+  kMatches,
 };
 
 /// An exchange that ended without an answer.
@@ -50,7 +61,8 @@
 class ServerConnections {
  public:
   /// Returns whether an answer belongs to the request with the given ID.
-  using RequestMatcher = bool (*)(const http1::Response&, const std::string&);
+  using RequestMatcher = AnswerMatch (*)(const http1::Response&,
+                                         const std::string&);
 
   ServerConnections(net::EventLoop& loop, const http1::Limits& limits,
                     RequestMatcher matches_request);
@@ -110,7 +122,7 @@
   static void OnEvent(bufferevent* bev, short what,  // NOLINT
                       void* connection);
 
-  Internal::ServerConnection* TakeIdle(BackendServerId server);
+  Internal::ServerConnection* TakeIdle(const ServerExchange& exchange);
   Internal::ServerConnection& Open(BackendServerId server,
                                    const Endpoint& endpoint);
   void HandleConnected(Internal::ServerConnection& connection);
@@ -122,6 +134,9 @@
   /// open.
   void HandleAnswer(Internal::ServerConnection& connection,
                     std::vector<http1::Response>& responses, bool is_intact);
+  /// Whether the answer belongs to the connection's request.
+  AnswerMatch Match(const Internal::ServerConnection& connection,
+                    const http1::Response& response) const;
   void StreamAnswer(Internal::ServerConnection& connection);
   void OfferStream(Internal::ServerConnection& connection);
   Internal::ServerConnection* FindByAttempt(AttemptId attempt);
--- a/tests/auto/gateway/endless_answers_test.cc
+++ b/tests/auto/gateway/endless_answers_test.cc
@@ -20,9 +20,9 @@
 /// What the kernel's buffers on both sides hold, and libevent's.
 constexpr std::size_t kBufferedBytes = 12U << 20U;
 
-bool IsForAnyRequest(const http1::Response& /*response*/,
-                     const std::string& /*id*/) {
-  return true;
+AnswerMatch IsForAnyRequest(const http1::Response& /*response*/,
+                            const std::string& /*id*/) {
+  return AnswerMatch::kMatches;
 }
 
 class EndlessAnswersTest : public CppUnit::TestFixture {
--- a/tests/auto/gateway/sent_bytes_test.cc
+++ b/tests/auto/gateway/sent_bytes_test.cc
@@ -23,9 +23,9 @@
 constexpr std::size_t kLargeRequestBytes = std::size_t{16} << 20U;
 constexpr int kMaxTurns = 1000;
 
-bool IsForAnyRequest(const http1::Response& /*response*/,
-                     const std::string& /*id*/) {
-  return true;
+AnswerMatch IsForAnyRequest(const http1::Response& /*response*/,
+                            const std::string& /*id*/) {
+  return AnswerMatch::kMatches;
 }
 
 /// Connections to one server; the test runs single turns of their event loop.
@@ -42,7 +42,7 @@
 
   void Send(std::uint64_t attempt, const std::string& bytes) {
     servers.Send({AttemptId(attempt), BackendServerId(1), endpoint, bytes,
-                  false, "mine"});
+                  false, "request-" + std::to_string(attempt)});
   }
   void Turn() { event_base_loop(loop->base(), EVLOOP_ONCE | EVLOOP_NONBLOCK); }
   /// Runs turns until the condition holds. Returns whether it does.
--- a/tests/auto/gateway/server_connections_test.cc
+++ b/tests/auto/gateway/server_connections_test.cc
@@ -94,9 +94,11 @@
   std::vector<bufferevent*> connections_;
 };
 
-bool MatchesRequest(const http1::Response& response, const std::string& id) {
+AnswerMatch MatchesRequest(const http1::Response& response,
+                           const std::string& id) {
   const auto* it = http1::FindHeader(response.headers, "Id");
-  return it == nullptr || *it == id;
+  if (it == nullptr) return AnswerMatch::kUnnamed;
+  return *it == id ? AnswerMatch::kMatches : AnswerMatch::kOther;
 }
 
 struct ExchangeResult {
@@ -106,7 +108,8 @@
 
 /// Sends a request and waits for its answer or failure.
 ExchangeResult Exchange(net::EventLoop& loop, ServerConnections& servers,
-                        const Endpoint& endpoint, std::uint64_t attempt) {
+                        const Endpoint& endpoint, std::uint64_t attempt,
+                        const std::string& request_id = "mine") {
   ExchangeResult result;
   const sigc::connection answered =
       servers.signal_answer().connect([&](AttemptId, http1::Response& it) {
@@ -119,7 +122,7 @@
         loop.Stop();
       });
   servers.Send({AttemptId(attempt), BackendServerId(1), endpoint,
-                "GET / HTTP/1.1\r\nHost: h\r\n\r\n", false, "mine"});
+                "GET / HTTP/1.1\r\nHost: h\r\n\r\n", false, request_id});
   loop.Run();
   sigc::connection(answered).disconnect();
   sigc::connection(failed).disconnect();
@@ -138,6 +141,9 @@
   CPPUNIT_TEST(RequestsAreNotSentOnConnectionsThatEnded);
   CPPUNIT_TEST(FailuresAgreeWithWhatTheServerRead);
   CPPUNIT_TEST(SpareConnectionsShowWhetherAServerIsReached);
+  CPPUNIT_TEST(EarlierRefusalIsNotTheAnswerToARepetition);
+  CPPUNIT_TEST(AnswerWithoutAnIdOnAUsedConnectionIsNotTrusted);
+  CPPUNIT_TEST(AnswerWhoseHeadBreaksOffIsNoAnswer);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -148,8 +154,8 @@
     Section("after an answer without extra bytes", [&] {
       RawServer server(*loop, endpoint,
                        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", false);
-      CPPUNIT_ASSERT(Exchange(*loop, servers, endpoint, 1).answer);
-      CPPUNIT_ASSERT(Exchange(*loop, servers, endpoint, 2).answer);
+      CPPUNIT_ASSERT(Exchange(*loop, servers, endpoint, 1, "").answer);
+      CPPUNIT_ASSERT(Exchange(*loop, servers, endpoint, 2, "").answer);
       CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server.connections());
     });
   }
@@ -201,6 +207,70 @@
     CPPUNIT_ASSERT_EQUAL(0, failures);
   }
 
+  /// Guards against refusals that are not true: a server writes its refusal of
+  /// a request once more, as the answer to a repetition of that request on the
+  /// same connection, which it runs meanwhile.
+  void EarlierRefusalIsNotTheAnswerToARepetition() {
+    auto loop = std::move(*net::EventLoop::Create());
+    const Endpoint endpoint{"127.0.0.1", kPorts.At(15)};
+    ServerConnections servers(*loop, {}, &MatchesRequest);
+    RawServer server(*loop, endpoint,
+                     "HTTP/1.1 503 Unavailable\r\nId: mine\r\nNot-Run: 1\r\n"
+                     "Content-Length: 0\r\n\r\n",
+                     false);
+    CPPUNIT_ASSERT(Exchange(*loop, servers, endpoint, 1).answer);
+    CPPUNIT_ASSERT(Exchange(*loop, servers, endpoint, 2).answer);
+    Section("the repetition went over another connection", [&] {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server.connections());
+    });
+  }
+
+  /// Guards against answers to earlier requests, refusals among them, that a
+  /// server writes once more without an ID while the next request runs.
+  void AnswerWithoutAnIdOnAUsedConnectionIsNotTrusted() {
+    auto loop = std::move(*net::EventLoop::Create());
+    for (const char* status : {"503 Unavailable", "200 OK", "500 Error"}) {
+      const Endpoint endpoint{"127.0.0.1", kPorts.At(16)};
+      ServerConnections servers(*loop, {}, &MatchesRequest);
+      RawServer server(
+          *loop, endpoint,
+          std::string("HTTP/1.1 ") + status + "\r\nContent-Length: 1\r\n\r\na",
+          false);
+      CPPUNIT_ASSERT(Exchange(*loop, servers, endpoint, 1, "first").answer);
+      const auto second = Exchange(*loop, servers, endpoint, 2, "second");
+      CPPUNIT_ASSERT(!second.answer);
+      CPPUNIT_ASSERT(second.failure == AttemptFailure::kTruncated);
+    }
+  }
+
+  /// Guards against an empty success: the server closes the connection in the
+  /// middle of its answer's head.
+  void AnswerWhoseHeadBreaksOffIsNoAnswer() {
+    auto loop = std::move(*net::EventLoop::Create());
+    const std::string answer =
+        "HTTP/1.1 200 OK\r\nId: mine\r\nSignature: s\r\nContent-Length: 3\r\n"
+        "\r\nabc";
+    for (std::size_t n = 1; n < answer.size(); ++n) {
+      const Endpoint endpoint{"127.0.0.1", kPorts.At(17)};
+      ServerConnections servers(*loop, {}, &MatchesRequest);
+      RawServer server(*loop, endpoint, answer.substr(0, n), true);
+      const ExchangeResult result = Exchange(*loop, servers, endpoint, n);
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(n), !result.answer);
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(n),
+                             result.failure == AttemptFailure::kTruncated);
+    }
+    Section("without a length, too", [&] {
+      const std::string endless = "HTTP/1.1 200 OK\r\nId: mine\r\n\r\n";
+      for (std::size_t n = 1; n < endless.size(); ++n) {
+        const Endpoint endpoint{"127.0.0.1", kPorts.At(18)};
+        ServerConnections servers(*loop, {}, &MatchesRequest);
+        RawServer server(*loop, endpoint, endless.substr(0, n), true);
+        const ExchangeResult result = Exchange(*loop, servers, endpoint, n);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(n), !result.answer);
+      }
+    });
+  }
+
   void SpareConnectionsShowWhetherAServerIsReached() {
     auto loop = std::move(*net::EventLoop::Create());
     const Endpoint endpoint{"127.0.0.1", kPorts.At(13)};
@@ -386,7 +456,7 @@
     });
     const auto send = [&](std::uint64_t attempt, const Endpoint& endpoint) {
       servers.Send({AttemptId(attempt), BackendServerId(1), endpoint,
-                    "GET / HTTP/1.1\r\nHost: h\r\n\r\n", false, "mine"});
+                    "GET / HTTP/1.1\r\nHost: h\r\n\r\n", false, ""});
     };
     const auto claims_unsent = [&] {
       return failure == AttemptFailure::kConnectFailed;
--- a/tests/auto/platform/message_codec_test.cc
+++ b/tests/auto/platform/message_codec_test.cc
@@ -163,9 +163,13 @@
     });
     Section("an answer matches the request with its ID", [&] {
       CPPUNIT_ASSERT(
-          codec.matches_request({200, {{"X-Request-Id", "a"}}, ""}, "a"));
+          codec.matches_request({200, {{"X-Request-Id", "a"}}, ""}, "a") ==
+          gateway::AnswerMatch::kMatches);
       CPPUNIT_ASSERT(
-          !codec.matches_request({200, {{"X-Request-Id", "b"}}, ""}, "a"));
+          codec.matches_request({200, {{"X-Request-Id", "b"}}, ""}, "a") ==
+          gateway::AnswerMatch::kOther);
+      CPPUNIT_ASSERT(codec.matches_request({200, {}, ""}, "a") ==
+                     gateway::AnswerMatch::kUnnamed);
     });
   }
 
