Bound what instances spend on lost paths by the requests that come for them

With every instance testing each lost path four times a second and telling all others twice a second, a service that is down everywhere would cost 540 instances 2,160 connects a second and each of them about 1,080 datagrams a second, against 3 KB a second that control may take (worked out, not measured).

A lost path is now tested only while requests come for the service, and told three times after a change and every 10 s from then on. Knowledge of instances that have left is dropped, and news of unknown ones is ignored.

--- a/src/libs/gateway/forwarder.cc
+++ b/src/libs/gateway/forwarder.cc
@@ -1,5 +1,6 @@
 #include "libs/gateway/forwarder.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "libs/gateway/forwarder_state.h"
@@ -111,6 +112,11 @@
 void SetDirectoryState(Forwarder& forwarder, const DirectoryState& state,
                        TimePoint now) {
   if (forwarder.directory_state == state) return;
+  std::erase_if(forwarder.peer_states, [&](const auto& it) {
+    return it.second.in_flight == 0 &&
+           std::ranges::find(state.peers, it.first, &Peer::name) ==
+               state.peers.end();
+  });
   DirectoryState before = std::exchange(forwarder.directory_state, state);
   before.members = state.members;
   before.peers = state.peers;
@@ -241,8 +247,10 @@
 
 void MergePaths(Forwarder& forwarder, const std::string& peer,
                 std::span<const ServiceId> lost, TimePoint now) {
-  /// Longer than the interval at which it is told.
-  constexpr Duration kLostTime = Millis(1500);
+  /// Longer than two of the intervals at which it is told.
+  constexpr Duration kLostTime = Seconds(25);
+  const auto& peers = forwarder.directory_state.peers;
+  if (std::ranges::find(peers, peer, &Peer::name) == peers.end()) return;
   Internal::PeerState& state = forwarder.peer_states[peer];
   state.lost = {lost.begin(), lost.end()};
   state.lost_until = now + kLostTime;
--- a/src/libs/gateway/forwarder_state.h
+++ b/src/libs/gateway/forwarder_state.h
@@ -167,6 +167,8 @@
   CrashRecords crashes;
   std::map<std::string, Internal::PeerState> peer_states;
   TimePoint paths_shared_at;
+  /// How often the latest change of paths is still to be told.
+  int path_shares_left = 0;
   /// By incarnation, so that a server that returns under the same name or
   /// address starts without.
   std::unordered_map<BackendServerId, Internal::ServerNotice> notices;
--- a/src/libs/gateway/path_state.cc
+++ b/src/libs/gateway/path_state.cc
@@ -34,6 +34,7 @@
   path.testing = servers;
   path.is_full_round = is_full_round;
   path.is_suspected = false;
+  path.is_wanted = false;
   path.next_test_at = now + kTestInterval;
 }
 
@@ -58,7 +59,8 @@
   if (servers == 0 || !path.testing.empty() || now < path.next_test_at) {
     return false;
   }
-  return path.lost_since || path.is_suspected || IsPathDoubtful(path) ||
+  if (path.lost_since) return path.is_wanted;
+  return path.is_suspected || IsPathDoubtful(path) ||
          path.failed.size() >= servers;
 }
 
--- a/src/libs/gateway/path_state.h
+++ b/src/libs/gateway/path_state.h
@@ -26,6 +26,8 @@
   /// The path to another service was lost, which may be the same fault.
   bool is_suspected = false;
   TimePoint next_test_at;
+  /// A request has come for the service since the last test.
+  bool is_wanted = false;
   /// Set while no server is reached.
   std::optional<TimePoint> lost_since;
 };
@@ -48,7 +50,8 @@
 
 // Queries.
 
-/// `servers`: number of the service's servers that may get requests.
+/// `servers`: number of the service's servers that may get requests. A lost
+/// path is tested only while requests come for it.
 bool IsPathTestDue(const PathState& path, std::size_t servers, TimePoint now);
 /// Returns how many servers to test at once.
 std::size_t PathTestSize(const PathState& path, std::size_t servers);
--- a/src/libs/gateway/paths.cc
+++ b/src/libs/gateway/paths.cc
@@ -8,8 +8,11 @@
 namespace ibisladder::gateway::Internal {
 namespace {
 
-/// Other instances forget what they were told somewhat later.
-constexpr Duration kShareInterval = Millis(500);
+/// A change is told several times, since datagrams may be lost, and lost paths
+/// now and then, for instances that have started since.
+constexpr int kChangeShares = 3;
+constexpr Duration kChangeShareInterval = Millis(500);
+constexpr Duration kShareInterval = Seconds(10);
 /// Time without any answer after which an attempt counts as unanswered, as a
 /// fraction of the route's target latency.
 constexpr int kSilenceDivisor = 2;
@@ -55,9 +58,15 @@
     if (service.path.lost_since) lost.push_back(id);
   }
   forwarder.paths_shared_at = context.now;
+  --forwarder.path_shares_left;
   forwarder.actions.emplace_back(SharePaths{std::move(lost)});
 }
 
+void ShareChangedPaths(Context& context) {
+  context.forwarder.path_shares_left = kChangeShares;
+  ShareLostPaths(context);
+}
+
 void MoveCalls(Context& context, ServiceId service) {
   std::vector<CallId> calls;
   for (const auto& [id, call] : context.forwarder.calls) {
@@ -78,7 +87,7 @@
   for (const auto& [server, known] : service.servers) {
     forwarder.actions.emplace_back(CloseIdleConnections{server});
   }
-  ShareLostPaths(context);
+  ShareChangedPaths(context);
   for (auto& [other_id, other] : forwarder.services) {
     if (other_id == id) continue;
     SuspectPath(other.path, context.now);
@@ -93,7 +102,7 @@
       {{"service", service.settings.name},
        {"lost_ms", FormatMillis(lost_for)}});
   routing::ForgetFailures(*service.router);
-  ShareLostPaths(context);
+  ShareChangedPaths(context);
 }
 
 /// Counts attempts that have been in flight for long without an answer of any
@@ -128,8 +137,10 @@
     TestIfDue(context, service);
     has_lost = has_lost || service.path.lost_since.has_value();
   }
-  const bool is_due =
-      has_lost && context.now - forwarder.paths_shared_at >= kShareInterval;
+  const bool is_change = forwarder.path_shares_left > 0;
+  const Duration interval = is_change ? kChangeShareInterval : kShareInterval;
+  const bool is_due = (is_change || has_lost) &&
+                      context.now - forwarder.paths_shared_at >= interval;
   if (is_due) ShareLostPaths(context);
 }
 
--- a/src/libs/gateway/requests.cc
+++ b/src/libs/gateway/requests.cc
@@ -240,6 +240,7 @@
   }
   call.is_retry = is_retry;
   call.after_shed = not_executed;
+  service->second.path.is_wanted = true;
   if (service->second.path.lost_since && TryRelay(context, id)) return;
   const auto request = MakeRoutingRequest(call, id, is_retry, not_executed);
   ActOnPlacement(context, id,
--- a/tests/auto/gateway/path_state_test.cc
+++ b/tests/auto/gateway/path_state_test.cc
@@ -78,7 +78,11 @@
   void LostPathIsTestedUntilAServerIsReached() {
     PathState path;
     path.lost_since = kStart;
-    CPPUNIT_ASSERT(IsPathTestDue(path, 3, kStart));
+    Section("while requests come for it", [&] {
+      CPPUNIT_ASSERT(!IsPathTestDue(path, 3, kStart));
+      path.is_wanted = true;
+      CPPUNIT_ASSERT(IsPathTestDue(path, 3, kStart));
+    });
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, PathTestSize(path, 3));
     StartPathTest(path, {kA}, false, kStart);
     Section("an answer that was under way does not restore it", [&] {
@@ -87,6 +91,7 @@
     });
     Section("tests are spaced out", [&] {
       EndPathTest(path, kA, false, kStart);
+      path.is_wanted = true;
       CPPUNIT_ASSERT(!IsPathTestDue(path, 3, kStart + Millis(100)));
       CPPUNIT_ASSERT(IsPathTestDue(path, 3, kStart + Seconds(1)));
     });
