Count attempts and retries over all instances that get a request

Now an instance that was lost counts as having used all attempts, and a request that may have been declined by servers needs retry budget at the next instance. The bound for carried requests has a result of its own (2014), since nothing was sent then. AttemptsAreCountedOverAllInstances and RefusedRequestsGoToFurtherInstancesAFewTimes fail without it.

--- a/src/libs/gateway/forwarder_state.h
+++ b/src/libs/gateway/forwarder_state.h
@@ -120,6 +120,8 @@
   bool after_shed = false;
   /// Instances to which it was passed on so far.
   std::vector<std::string> peers;
+  /// One of these may have sent it to servers that declined it.
+  bool was_declined_elsewhere = false;
 };
 
 /// What this instance knows of another one.
--- a/src/libs/gateway/paths.cc
+++ b/src/libs/gateway/paths.cc
@@ -58,7 +58,7 @@
     if (service.path.lost_since) lost.push_back(id);
   }
   forwarder.paths_shared_at = context.now;
-  --forwarder.path_shares_left;
+  forwarder.path_shares_left = std::max(forwarder.path_shares_left - 1, 0);
   forwarder.actions.emplace_back(SharePaths{std::move(lost)});
 }
 
--- a/src/libs/gateway/relays.cc
+++ b/src/libs/gateway/relays.cc
@@ -107,7 +107,7 @@
   origin.service = call.service;
   origin.version = forwarder.routes->configuration->version;
   origin.attempts_left = call.route.max_attempts - call.attempts;
-  origin.is_retry = call.attempts > 0;
+  origin.is_retry = call.attempts > 0 || call.was_declined_elsewhere;
   origin.caller_address = call.request->caller_address;
   const Duration left = call.deadline - context.now;
   Log(context, LogEvent::kCallRelayed,
@@ -119,8 +119,21 @@
                                              leaves_zone, std::move(origin)});
 }
 
-/// Goes on with a call that another instance did not run, or that may be
-/// repeated.
+/// Whether an instance that refuses with this code has sent the request to no
+/// server, so that it is not repeated if another one sends it.
+bool IsUnsent(ResultCode code) {
+  switch (code) {
+    case ResultCode::kNotReady:
+    case ResultCode::kStopping:
+    case ResultCode::kRequestTableFull:
+    case ResultCode::kServerUnreachable:
+      return true;
+    default:
+      return false;
+  }
+}
+
+/// Goes on with a call that another instance did not run.
 void GoOn(Context& context, CallId id, ResultCode code, Duration retry_after) {
   Forwarder& forwarder = context.forwarder;
   const Call& call = forwarder.calls.at(id);
@@ -146,6 +159,8 @@
     ++forwarder.counters.relays["refused"];
     PeerState& state = forwarder.peer_states[peer];
     state.unusable_until = context.now + kRefusedPause;
+    call.was_declined_elsewhere =
+        call.was_declined_elsewhere || !IsUnsent(code);
     GoOn(context, id, code, answer.pause.value_or(kRetryAfter));
     return;
   }
@@ -210,7 +225,7 @@
   // The call itself is not counted yet.
   if (CountCarried(context.forwarder, service_id) >=
       CarriedLimit(context, service_id, service->second)) {
-    return ResultCode::kOverloaded;
+    return ResultCode::kRequestTableFull;
   }
   return std::nullopt;
 }
@@ -311,7 +326,11 @@
     FinishStream(context, attempt.call, 0, ResultCode::kAnswerTruncated);
     return;
   }
-  if (failure != AttemptFailure::kConnectFailed) call.may_have_run = true;
+  if (failure != AttemptFailure::kConnectFailed) {
+    call.may_have_run = true;
+    // The other instance may have made all that were left.
+    call.attempts = call.route.max_attempts;
+  }
   GoOn(context, attempt.call, ResultCode::kServerUnreachable, kRetryAfter);
 }
 
--- a/tests/auto/gateway/relayed_requests_test.cc
+++ b/tests/auto/gateway/relayed_requests_test.cc
@@ -98,7 +98,7 @@
   CPPUNIT_TEST_SUITE(RelayedRequestsTest);
   CPPUNIT_TEST(RequestsGoToAnotherInstanceAtOnce);
   CPPUNIT_TEST(AtMostOnceRequestsAreNotPassedOnAgainIfTheyMayHaveRun);
-  CPPUNIT_TEST(IdempotentRequestsMayBePassedOnAgain);
+  CPPUNIT_TEST(AttemptsAreCountedOverAllInstances);
   CPPUNIT_TEST(RefusedRequestsGoToFurtherInstancesAFewTimes);
   CPPUNIT_TEST(RequestsWithoutAnInstanceAreSentAsBefore);
   CPPUNIT_TEST(DeadlinesAndCallersThatLeave);
@@ -183,11 +183,21 @@
     });
   }
 
-  void IdempotentRequestsMayBePassedOnAgain() {
+  /// Guards against requests that reach more servers than their route allows:
+  /// an instance whose connection is lost may have used all attempts.
+  void AttemptsAreCountedOverAllInstances() {
     auto fixture = MakeCutOff(3);
     const CallId call = Arrive(fixture, "/read/2");
     Fail(fixture, LastAttempt(fixture, call), AttemptFailure::kConnectionLost);
-    CPPUNIT_ASSERT_EQUAL(2, AttemptsOf(fixture, call));
+    CPPUNIT_ASSERT_EQUAL(1, AttemptsOf(fixture, call));
+    CPPUNIT_ASSERT_EQUAL(kStatusBadGateway, fixture.answers.at(call).status);
+    Section("one that was not reached has used none", [&] {
+      const CallId other = Arrive(fixture, "/read/3");
+      Fail(fixture, LastAttempt(fixture, other),
+           AttemptFailure::kConnectFailed);
+      CPPUNIT_ASSERT_EQUAL(2U,
+                           LastAttempt(fixture, other).relay->attempts_left);
+    });
     Section("a request that hangs at a server is passed on as a repetition",
             [&] {
               auto hung = MakeFixture(4);
@@ -214,7 +224,11 @@
       CPPUNIT_ASSERT_EQUAL(i + 1, AttemptsOf(fixture, call));
       const SendAttempt sent = LastAttempt(fixture, call);
       instances.insert(sent.endpoint.port);
-      AnswerAsPeer(fixture, sent, kStatusUnavailable, ResultCode::kOverloaded);
+      // The second one may have been declined by servers.
+      CPPUNIT_ASSERT_EQUAL(i == 2, sent.relay->is_retry);
+      AnswerAsPeer(
+          fixture, sent, kStatusUnavailable,
+          i == 0 ? ResultCode::kRequestTableFull : ResultCode::kShedByServers);
     }
     Section("each one is asked once",
             [&] { CPPUNIT_ASSERT_EQUAL(std::size_t{3}, instances.size()); });
