Keep to what the linter's library can parse

clang-tidy cannot check std::ranges::stable_partition's result, and reports narrowing of random numbers in a test. The same calls in the older form; no change of behaviour.

--- a/src/libs/gateway/relays.cc
+++ b/src/libs/gateway/relays.cc
@@ -59,10 +59,10 @@
     if (IsUsable(context, call, it)) usable.push_back(&it);
   }
   if (usable.empty()) return nullptr;
-  const auto others = std::ranges::stable_partition(
-      usable, [](const Peer* it) { return it->is_advertised; });
-  const auto advertised =
-      static_cast<std::size_t>(others.begin() - usable.begin());
+  const auto others =
+      std::stable_partition(usable.begin(), usable.end(),
+                            [](const Peer* it) { return it->is_advertised; });
+  const auto advertised = static_cast<std::size_t>(others - usable.begin());
   const std::size_t n = advertised > 0 ? advertised : usable.size();
   const Peer* a = usable[UniformBelow(forwarder.random, n)];
   const Peer* b = usable[UniformBelow(forwarder.random, n)];
--- a/tests/auto/gateway/lost_paths_test.cc
+++ b/tests/auto/gateway/lost_paths_test.cc
@@ -29,6 +29,12 @@
   return MakeFleet(settings);
 }
 
+/// Returns a random time from `least` to `least` + `range` milliseconds.
+Duration DrawMillis(Random& random, int least, int range) {
+  const auto more = UniformBelow(random, static_cast<std::uint64_t>(range));
+  return Millis(least + static_cast<int>(more));
+}
+
 std::set<std::size_t> AllOthers(const FleetSimulation& fleet,
                                 const std::set<std::size_t>& instances) {
   std::set<std::size_t> result;
@@ -104,13 +110,13 @@
       fleet.settings.lost_relays_percent = 10;
       Random random(seed);
       for (int i = 0; i < 8; ++i) {
-        Run(fleet, Millis(200 + UniformBelow(random, 1500)), 120);
+        Run(fleet, DrawMillis(random, 200, 1500), 120);
         std::set<std::size_t> cut;
         for (std::size_t k = 0; k < fleet.instances.size(); ++k) {
           if (UniformBelow(random, 2) == 0) cut.insert(k);
         }
         CutPaths(fleet, cut, static_cast<PathLoss>(UniformBelow(random, 3)));
-        Run(fleet, Millis(100 + UniformBelow(random, 2500)), 120);
+        Run(fleet, DrawMillis(random, 100, 2500), 120);
         HealPaths(fleet);
       }
       Run(fleet, kDrainTime, 0);
