--- a/src/libs/base/log_event.cc
+++ b/src/libs/base/log_event.cc
@@ -72,6 +72,10 @@
       return "server_notice_invalid";
     case LogEvent::kZoneTraffic:
       return "zone_traffic";
+    case LogEvent::kPathLost:
+      return "path_lost";
+    case LogEvent::kPathRestored:
+      return "path_restored";
     case LogEvent::kServerEjected:
       return "server_ejected";
     case LogEvent::kServerRestored:
--- a/src/libs/base/log_event.h
+++ b/src/libs/base/log_event.h
@@ -38,6 +38,8 @@
   kServerPaused = 1109,
   kServerNoticeInvalid = 1110,
   kZoneTraffic = 1111,
+  kPathLost = 1112,
+  kPathRestored = 1113,
 
   kServerEjected = 1201,
   kServerRestored = 1202,
--- a/src/libs/gateway/answers.cc
+++ b/src/libs/gateway/answers.cc
@@ -165,6 +165,10 @@
   Forwarder& forwarder = context.forwarder;
   const auto it = forwarder.attempts.find(id);
   if (it == forwarder.attempts.end()) return;
+  if (!it->second.peer.empty()) {
+    EndRelay(context, id);
+    return;
+  }
   const Attempt attempt = it->second;
   forwarder.attempts.erase(it);
   if (const auto call = forwarder.calls.find(attempt.call);
@@ -187,6 +191,7 @@
   if (call.is_streaming || ClassifyAnswer(head) != AttemptEnd::kOk) return;
   call.is_streaming = true;
   it->second.is_streaming = true;
+  // Ignores attempts at other instances.
   detection::AttemptEnded(*forwarder.services.at(it->second.service).detector,
                           id, AttemptEnd::kOk, context.now);
   for (const AttemptId other : std::vector<AttemptId>(call.in_flight)) {
@@ -203,6 +208,10 @@
   const auto it = forwarder.attempts.find(id);
   if (it == forwarder.attempts.end()) return;
   const Attempt attempt = it->second;
+  if (!attempt.peer.empty()) {
+    HandleRelayAnswer(context, id, std::move(answer));
+    return;
+  }
   ServiceState& service = forwarder.services.at(attempt.service);
   if (answer.load) {
     routing::ReportLoad(*service.router, attempt.server, *answer.load,
@@ -213,6 +222,7 @@
   } else {
     RecordServerContact(context, attempt.server, attempt.sent_at);
   }
+  RecordPathAnswer(service.path, context.now);
   const AttemptEnd end = ClassifyAnswer(answer);
   RecordLimit(context, service, attempt.server, answer, end);
   RecordNotices(context, attempt.server, answer);
@@ -242,7 +252,16 @@
   const AttemptEnd end = EndOf(failure);
   const auto it = context.forwarder.attempts.find(id);
   if (it == context.forwarder.attempts.end()) return;
+  if (!it->second.peer.empty()) {
+    HandleRelayFailure(context, id, failure);
+    return;
+  }
   const BackendServerId failed_server = it->second.server;
+  if (failure != AttemptFailure::kTruncated) {
+    RecordFailureOnPath(context,
+                        context.forwarder.services.at(it->second.service),
+                        failed_server);
+  }
   CallId call_id;
   std::string server = "unlisted server";
   if (!CloseAttempt(context, id, end, call_id, server)) return;
--- a/src/libs/gateway/directory.cc
+++ b/src/libs/gateway/directory.cc
@@ -69,6 +69,13 @@
   state.self = name;
   for (const Member& it : members) state.members.push_back(it.name);
   state.advertised_instances = advertised.size();
+  for (const Member& it : members) {
+    if (it.name == name) continue;
+    const bool is_advertised =
+        std::ranges::find(advertised, it.name, &Member::name) !=
+        advertised.end();
+    state.peers.push_back({it.name, it.zone, it.relay_endpoint, is_advertised});
+  }
   const auto self = std::ranges::find(advertised, name, &Member::name);
   state.is_advertised = self != advertised.end();
   if (!state.is_advertised) return state;
--- a/src/libs/gateway/directory.h
+++ b/src/libs/gateway/directory.h
@@ -21,9 +21,8 @@
   Endpoint caller_endpoint;
   /// UDP; receives peers' evidence and list updates.
   Endpoint peer_endpoint;
-  /// TCP; meant for instances that start without the store. Only registered:
-  /// nothing connects to it yet.
-  Endpoint state_endpoint;
+  /// TCP; takes requests from instances that reach no server themselves.
+  Endpoint relay_endpoint;
   /// Processor time that the instance may use, in thousandths of a core, and
   /// the bandwidth of its link; 0: not known.
   std::uint32_t millicores = 0;
@@ -32,7 +31,7 @@
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(name, incarnation, zone, caller_endpoint, peer_endpoint,
-            state_endpoint, millicores, link_mbps);
+            relay_endpoint, millicores, link_mbps);
   }
   friend bool operator==(const Member&, const Member&) = default;
 };
@@ -51,6 +50,17 @@
 std::vector<Member> AdvertisedMembers(std::span<const Member> members,
                                       const DirectorySettings& settings);
 
+/// Another instance, which can take requests that this one cannot send.
+struct Peer {
+  std::string name;
+  ZoneName zone;
+  /// TCP; takes requests from other instances.
+  Endpoint endpoint;
+  bool is_advertised = false;
+
+  bool operator==(const Peer&) const = default;
+};
+
 /// What an instance derives from the list of advertised instances.
 struct DirectoryState {
   /// Number of advertised instances. They share the servers' capacity and the
@@ -68,6 +78,8 @@
   /// keepers of servers with limits are chosen.
   std::string self;
   std::vector<std::string> members;
+  /// All other instances.
+  std::vector<Peer> peers;
 
   bool operator==(const DirectoryState&) const = default;
 };
--- a/src/libs/gateway/forwarder.cc
+++ b/src/libs/gateway/forwarder.cc
@@ -113,7 +113,8 @@
   if (forwarder.directory_state == state) return;
   DirectoryState before = std::exchange(forwarder.directory_state, state);
   before.members = state.members;
-  // Routers do not use the list of members.
+  before.peers = state.peers;
+  // Routers do not use the lists of instances.
   if (!forwarder.routes || before == state) return;
   Context context{forwarder, now};
   for (auto& [id, service] : forwarder.services) {
@@ -231,6 +232,22 @@
   PumpQueues(context);
 }
 
+void PathTested(Forwarder& forwarder, BackendServerId server, bool is_open,
+                TimePoint now) {
+  Context context{forwarder, now};
+  Internal::HandlePathTest(context, server, is_open);
+  PumpQueues(context);
+}
+
+void MergePaths(Forwarder& forwarder, const std::string& peer,
+                std::span<const ServiceId> lost, TimePoint now) {
+  /// Longer than the interval at which it is told.
+  constexpr Duration kLostTime = Millis(1500);
+  Internal::PeerState& state = forwarder.peer_states[peer];
+  state.lost = {lost.begin(), lost.end()};
+  state.lost_until = now + kLostTime;
+}
+
 std::vector<BackendServerId> KnownLeaving(const Forwarder& forwarder) {
   return Internal::CollectLeaving(forwarder);
 }
@@ -247,6 +264,7 @@
   Context context{forwarder, now};
   CheckCalls(context);
   Internal::CheckPermits(context);
+  Internal::CheckPaths(context);
   EvaluateAll(context);
   PumpQueues(context);
 }
@@ -269,6 +287,19 @@
                                         : std::optional(it->second.call);
 }
 
+bool IsRelay(const Forwarder& forwarder, AttemptId attempt) {
+  const auto it = forwarder.attempts.find(attempt);
+  return it != forwarder.attempts.end() && !it->second.peer.empty();
+}
+
+std::vector<std::string> LostPaths(const Forwarder& forwarder) {
+  std::vector<std::string> names;
+  for (const auto& [id, service] : forwarder.services) {
+    if (service.path.lost_since) names.push_back(service.settings.name);
+  }
+  return names;
+}
+
 bool LeavesZone(const Forwarder& forwarder, AttemptId attempt) {
   const auto it = forwarder.attempts.find(attempt);
   return it != forwarder.attempts.end() && it->second.leaves_zone;
--- a/src/libs/gateway/forwarder.h
+++ b/src/libs/gateway/forwarder.h
@@ -65,6 +65,12 @@
   /// Permits asked for, by result: "granted", "limit", "no_reply",
   /// "not_keeper", "late_reply".
   std::map<std::string, std::uint64_t> permits;
+  /// Requests that were passed on to other instances, by result: "answered",
+  /// "refused", "failed", and "no_instance" for those that could not be.
+  std::map<std::string, std::uint64_t> relays;
+  /// Requests that other instances have passed on. They are in no other count
+  /// but this.
+  std::uint64_t relayed_here = 0;
   std::uint64_t arrived = 0;
   /// Requests whose caller left before the answer. At-most-once requests run on
   /// and may then also be counted in `answers`.
@@ -136,6 +142,13 @@
 /// Another instance tells that these servers leave.
 void MergeLeaving(Forwarder& forwarder,
                   std::span<const BackendServerId> servers, TimePoint now);
+/// A connection for TestPath was opened, or could not be.
+void PathTested(Forwarder& forwarder, BackendServerId server, bool is_open,
+                TimePoint now);
+/// Another instance tells to which services it has no path, in place of those
+/// that it told before.
+void MergePaths(Forwarder& forwarder, const std::string& peer,
+                std::span<const ServiceId> lost, TimePoint now);
 /// Handles deadlines, queues, hedges and evaluation of servers. Call about
 /// every 20 ms.
 void Tick(Forwarder& forwarder, TimePoint now);
@@ -150,6 +163,10 @@
 ConfigurationPtr CurrentConfiguration(const Forwarder& forwarder);
 /// Returns the call that an attempt in flight belongs to.
 std::optional<CallId> CallOf(const Forwarder& forwarder, AttemptId attempt);
+/// Returns whether an attempt in flight is at another instance.
+bool IsRelay(const Forwarder& forwarder, AttemptId attempt);
+/// Returns the names of the services to which this instance has no path.
+std::vector<std::string> LostPaths(const Forwarder& forwarder);
 /// Returns whether the server of an attempt in flight is in another zone.
 bool LeavesZone(const Forwarder& forwarder, AttemptId attempt);
 /// Returns the number of requests that are not finished.
--- a/src/libs/gateway/forwarder_state.h
+++ b/src/libs/gateway/forwarder_state.h
@@ -2,12 +2,14 @@
 #define LIBS_GATEWAY_FORWARDER_STATE_H_
 
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "libs/base/random.h"
 #include "libs/gateway/forwarder.h"
+#include "libs/gateway/path_state.h"
 #include "libs/gateway/request_key.h"
 #include "libs/gateway/route_table.h"
 #include "libs/gateway/server_limits.h"
@@ -52,6 +54,7 @@
   routing::RouterPtr router;
   std::map<BackendServerId, KnownServer> servers;
   TimePoint evidence_shared_at;
+  PathState path;
 };
 
 struct Attempt {
@@ -64,6 +67,9 @@
   bool is_streaming = false;
   /// The server is in another availability zone.
   bool leaves_zone = false;
+  /// Name of the instance to which the request was passed on; empty: it is at a
+  /// server.
+  std::string peer;
 };
 
 /// A request from its arrival to its answer. At most one attempt is in flight;
@@ -112,6 +118,18 @@
   /// How its latest attempt was placed.
   bool is_retry = false;
   bool after_shed = false;
+  /// Instances to which it was passed on so far.
+  std::vector<std::string> peers;
+};
+
+/// What this instance knows of another one.
+struct PeerState {
+  std::size_t in_flight = 0;
+  /// It could not be reached, or refused a request.
+  TimePoint unusable_until;
+  /// Services to which it has no path, and until when that counts.
+  std::set<ServiceId> lost;
+  TimePoint lost_until;
 };
 
 /// A call that is to be sent to a server with a limit and waits for a permit.
@@ -147,6 +165,8 @@
   /// asked.
   std::map<std::string, TimePoint> silent_keepers;
   CrashRecords crashes;
+  std::map<std::string, Internal::PeerState> peer_states;
+  TimePoint paths_shared_at;
   /// By incarnation, so that a server that returns under the same name or
   /// address starts without.
   std::unordered_map<BackendServerId, Internal::ServerNotice> notices;
@@ -283,6 +303,31 @@
 /// ended since the last update.
 void UpdateNotices(Context& context, TimePoint last_update);
 
+// paths.cc
+
+/// Records that an attempt at the server ended without an answer.
+void RecordFailureOnPath(Context& context, ServiceState& service,
+                         BackendServerId server);
+/// Tests paths that are in doubt, and tells other instances which are lost.
+void CheckPaths(Context& context);
+void HandlePathTest(Context& context, BackendServerId server, bool is_open);
+
+// relays.cc
+
+/// Passes a call on to an instance that reaches the service's servers, if that
+/// is safe and this instance does not. Returns false if it was not passed on.
+bool TryRelay(Context& context, CallId id);
+/// Passes on a call that waits for a server here or, if it may be repeated, for
+/// the answer of one; does nothing if no instance can take it.
+void MoveToPeer(Context& context, CallId id);
+/// Handles the answer of an instance to which a call was passed on.
+void HandleRelayAnswer(Context& context, AttemptId id, ServerAnswer answer);
+void HandleRelayFailure(Context& context, AttemptId id, AttemptFailure failure);
+/// Removes an attempt at another instance.
+void EndRelay(Context& context, AttemptId id);
+/// Places a request of another instance, or refuses it.
+void RouteRelayed(Context& context, CallId id);
+
 // crashes.cc
 
 /// Records, and tells other instances, that a server's connection ended while
--- a/src/libs/gateway/messages.h
+++ b/src/libs/gateway/messages.h
@@ -13,6 +13,7 @@
 #include "libs/base/time.h"
 #include "libs/detection/detector.h"
 #include "libs/gateway/crash_records.h"
+#include "libs/gateway/relay.h"
 #include "libs/gateway/server_limits.h"
 #include "libs/net/http_types.h"
 #include "libs/routing/router.h"
@@ -39,6 +40,8 @@
   std::string caller_address;
   /// How long the caller waits; nullopt if the request does not say.
   std::optional<Duration> timeout;
+  /// Set if another instance has passed the request on.
+  std::optional<RelayOrigin> relayed;
 };
 using CallerRequestPtr = std::shared_ptr<const CallerRequest>;
 
@@ -73,6 +76,9 @@
   std::optional<Duration> pause;
   /// Text of a statement about leaving or a pause that cannot be read.
   std::string unreadable_notice;
+  /// Set if the instance to which the request was passed on generated the
+  /// answer itself; `pause` is then when the caller should return.
+  std::optional<ResultCode> relay_result;
 };
 
 /// Why an attempt ended without a complete answer.
@@ -114,6 +120,9 @@
   Duration time_left{};
   /// The server is in another availability zone.
   bool leaves_zone = false;
+  /// Set if the request is passed on to another instance, whose endpoint and
+  /// key are in place of the server's.
+  std::optional<RelayOrigin> relay;
 };
 /// Closes the attempt's connection, so that the server stops executing it.
 struct CancelAttempt {
@@ -149,6 +158,21 @@
   std::vector<detection::Digest> digests;
 };
 
+/// Opens a connection to the server, which further requests may use, to find
+/// out whether this instance reaches it. PathTested must follow.
+struct TestPath {
+  BackendServerId server;
+  Endpoint endpoint;
+};
+/// Closes the server's connections that carry no request.
+struct CloseIdleConnections {
+  BackendServerId server;
+};
+/// Tells all other instances to which services this one has no path.
+struct SharePaths {
+  std::vector<ServiceId> lost;
+};
+
 /// Asks another instance, the keeper of a server, for a permit.
 struct AskPermit {
   std::string keeper;
@@ -174,10 +198,11 @@
   std::vector<BackendServerId> servers;
 };
 
-using Action = std::variant<SendAttempt, CancelAttempt, AnswerCaller,
-                            StreamAnswer, EndAnswer, BreakAnswer, SendProbe,
-                            ShareEvidence, AskPermit, AnswerPermit, ShareLimits,
-                            ShareCrashes, ShareLeaving, LogLine>;
+using Action =
+    std::variant<SendAttempt, CancelAttempt, AnswerCaller, StreamAnswer,
+                 EndAnswer, BreakAnswer, SendProbe, ShareEvidence, AskPermit,
+                 AnswerPermit, ShareLimits, ShareCrashes, ShareLeaving,
+                 TestPath, CloseIdleConnections, SharePaths, LogLine>;
 
 }  // namespace ibisladder::gateway
 
--- a/src/libs/gateway/requests.cc
+++ b/src/libs/gateway/requests.cc
@@ -94,8 +94,10 @@
   }
 }
 
-/// Answers a call for which no further attempt can be made.
+/// Answers a call for which no further attempt can be made here.
 void GiveUp(Context& context, CallId id, const routing::Refused& refused) {
+  const bool is_hopeless = refused.code == ResultCode::kRequestCrashesServers;
+  if (!is_hopeless && TryRelay(context, id)) return;
   Call& call = context.forwarder.calls.at(id);
   if (call.server_failure) {
     Finish(context, id, std::move(*call.server_failure));
@@ -116,6 +118,10 @@
 void RouteCall(Context& context, CallId id) {
   Forwarder& forwarder = context.forwarder;
   Call& call = forwarder.calls.at(id);
+  if (call.request->relayed) {
+    RouteRelayed(context, id);
+    return;
+  }
   if (!forwarder.routes) {
     AnswerWithCode(context, id, ResultCode::kNotReady, kDefaultRetryAfter);
     return;
@@ -159,8 +165,8 @@
   call.in_flight.push_back(attempt);
   ++call.attempts;
   const bool leaves_zone = it->second.entry.zone != forwarder.settings.zone;
-  forwarder.attempts[attempt] = {id,          call.service, dispatch.server,
-                                 context.now, false,        leaves_zone};
+  forwarder.attempts[attempt] = {
+      id, call.service, dispatch.server, context.now, false, leaves_zone, ""};
   detection::AttemptStarted(*service.detector, dispatch.server, attempt,
                             context.now);
   const ServerEntry& entry = it->second.entry;
@@ -178,7 +184,8 @@
 
 void Accept(Context& context, CallerRequest request) {
   Forwarder& forwarder = context.forwarder;
-  ++forwarder.counters.arrived;
+  ++(request.relayed ? forwarder.counters.relayed_here
+                     : forwarder.counters.arrived);
   const CallId id = request.call;
   Call& call = forwarder.calls[id];
   call.request = std::make_shared<const CallerRequest>(std::move(request));
@@ -188,7 +195,7 @@
     AnswerWithCode(context, id, ResultCode::kStopping, kStoppingRetryAfter);
     return;
   }
-  if (IsStarting(context)) {
+  if (IsStarting(context) && !call.request->relayed) {
     call.awaits_startup = true;
     call.deadline = forwarder.start_deadline;
     if (const auto& timeout = call.request->timeout) {
@@ -233,6 +240,7 @@
   }
   call.is_retry = is_retry;
   call.after_shed = not_executed;
+  if (service->second.path.lost_since && TryRelay(context, id)) return;
   const auto request = MakeRoutingRequest(call, id, is_retry, not_executed);
   ActOnPlacement(context, id,
                  routing::Place(*service->second.router, request, context.now,
@@ -293,6 +301,7 @@
                          call.attempts < call.route.max_attempts;
   if (!may_hedge || MayHaveCrashed(context, id)) return;
   const Attempt& first = forwarder.attempts.at(call.in_flight.front());
+  if (!first.peer.empty()) return;
   ServiceState& service = forwarder.services.at(call.service);
   const bool is_ejected = detection::StateOf(*service.detector, first.server) ==
                           detection::ServerState::kEjected;
@@ -328,8 +337,10 @@
   }
   ReleasePermit(context, id);
   call.caller_left = true;
-  if (call.route.repeat == RepeatRule::kIdempotent) {
-    for (const AttemptId attempt : std::vector<AttemptId>(call.in_flight)) {
+  for (const AttemptId attempt : std::vector<AttemptId>(call.in_flight)) {
+    // The other instance decides whether an at-most-once request runs on.
+    if (call.route.repeat == RepeatRule::kIdempotent ||
+        IsRelay(forwarder, attempt)) {
       forwarder.actions.emplace_back(CancelAttempt{attempt});
       EndAttempt(context, attempt, detection::AttemptEnd::kAbandoned);
     }
@@ -355,6 +366,12 @@
                        : detection::AttemptEnd::kTimeout;
   for (const AttemptId attempt : std::vector<AttemptId>(call.in_flight)) {
     forwarder.actions.emplace_back(CancelAttempt{attempt});
+    const Attempt& open = forwarder.attempts.at(attempt);
+    const auto service = forwarder.services.find(open.service);
+    const bool is_silent =
+        open.peer.empty() && service != forwarder.services.end() &&
+        !open.is_streaming && service->second.path.answered_at < open.sent_at;
+    if (is_silent) RecordFailureOnPath(context, service->second, open.server);
     call.may_have_run = true;
     EndAttempt(context, attempt, end);
   }
@@ -401,7 +418,8 @@
 void RecordAnswer(Context& context, const Call& call,
                   const CallerAnswer& answer) {
   const bool is_refused = IsRefusal(answer);
-  CountAnswer(context, call, answer);
+  // The instance where it arrived first counts it.
+  if (!call.request->relayed) CountAnswer(context, call, answer);
   RecordOutcome(context, call, answer);
   Log(context, is_refused ? LogEvent::kCallRefused : LogEvent::kCallAnswered,
       {{"request", call.request->request_id},
--- a/src/libs/gateway/services.cc
+++ b/src/libs/gateway/services.cc
@@ -157,6 +157,13 @@
   return it == service.servers.end() ? "unknown" : it->second.entry.name;
 }
 
+/// Whether the evidence may come from this instance's own link, which says
+/// nothing about the server.
+bool IsOwnPathBlamed(const ServiceState& service,
+                     const detection::Digest& digest) {
+  return !digest.is_answered && IsPathDoubtful(service.path);
+}
+
 /// Logs the problems of `current` that `before` did not have, up to a bound.
 void LogNewProblems(Context& context, const Configuration& current,
                     const Configuration* before) {
@@ -298,7 +305,8 @@
   std::erase_if(digests, [&](const auto& it) {
     return it.score < kMinSharedScore ||
            detection::StateOf(*service.detector, it.server) !=
-               detection::ServerState::kHealthy;
+               detection::ServerState::kHealthy ||
+           IsOwnPathBlamed(service, it);
   });
   if (digests.empty()) return;
   service.evidence_shared_at = context.now;
@@ -309,7 +317,10 @@
                      BackendServerId server) {
   const auto digest =
       detection::OwnDigest(*service.detector, id, server, context.now);
-  if (!digest || digest->score < kMinSharedScore) return;
+  if (!digest || digest->score < kMinSharedScore ||
+      IsOwnPathBlamed(service, *digest)) {
+    return;
+  }
   context.forwarder.actions.emplace_back(ShareEvidence{{*digest}});
 }
 
--- a/src/libs/routing/router.h
+++ b/src/libs/routing/router.h
@@ -214,6 +214,8 @@
 /// Undoes a Dispatch that was not sent, since its call has ended or the server
 /// has left.
 void CancelDispatch(Router& router, BackendServerId server);
+/// Ends the pauses of all servers, whose failures were not their own.
+void ForgetFailures(Router& router);
 /// Returns the queued calls that can be placed or must be refused now. To be
 /// called after each command that may free capacity or displace a call, and at
 /// least every 10 ms.
--- a/src/plugins/fleet/datagrams.h
+++ b/src/plugins/fleet/datagrams.h
@@ -19,6 +19,7 @@
   kConfigurationVersion = 'v',
   kCrashes = 'c',
   kLeavingServers = 'd',
+  kLostPaths = 'u',
 };
 
 template <typename T>
--- a/src/plugins/fleet/fleet_datagrams.cc
+++ b/src/plugins/fleet/fleet_datagrams.cc
@@ -49,6 +49,16 @@
   }
 };
 
+struct LostPathsDatagram {
+  std::string sender;
+  std::vector<ServiceId> services;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(sender, services);
+  }
+};
+
 InstanceId InstanceIdOf(const gateway::Member& member) {
   return InstanceId(static_cast<std::uint32_t>(member.incarnation.value()));
 }
@@ -197,6 +207,11 @@
   }
 }
 
+void FleetTask::SharePaths(const std::vector<ServiceId>& lost) {
+  SendToAll(EncodeDatagram(DatagramKind::kLostPaths,
+                           LostPathsDatagram{options_.self.name, lost}));
+}
+
 void FleetTask::AskPermit(const gateway::AskPermit& question) {
   const auto it =
       std::ranges::find(members_, question.keeper, &gateway::Member::name);
@@ -235,6 +250,7 @@
   VersionDatagram version;
   gateway::CrashMessage crashes;
   std::vector<BackendServerId> leaving;
+  LostPathsDatagram lost_paths;
   if (kind == DatagramKind::kEvidence && wire::DecodePortable(body, evidence)) {
     evidence_received_.emit(evidence.sender, evidence.digests);
   } else if (kind == DatagramKind::kListUpdate &&
@@ -252,6 +268,9 @@
   } else if (kind == DatagramKind::kLeavingServers &&
              wire::DecodePortable(body, leaving)) {
     leaving_received_.emit(leaving);
+  } else if (kind == DatagramKind::kLostPaths &&
+             wire::DecodePortable(body, lost_paths)) {
+    paths_received_.emit(lost_paths.sender, lost_paths.services);
   } else if (kind == DatagramKind::kLimitsQuestion) {
     limits_asked_.emit(datagram.peer);
   } else if (kind == DatagramKind::kPermitRequest &&
--- a/src/plugins/fleet/fleet_task.h
+++ b/src/plugins/fleet/fleet_task.h
@@ -68,6 +68,8 @@
   void ShareLeaving(const std::vector<BackendServerId>& servers);
   void SendLeaving(const Endpoint& peer,
                    const std::vector<BackendServerId>& servers);
+  /// Tells all other instances to which services this one has no path.
+  void SharePaths(const std::vector<ServiceId>& lost);
   void AskPermit(const gateway::AskPermit& question);
   void AnswerPermit(const gateway::AnswerPermit& answer);
   /// Ends this instance's registration, which removes it from the other
@@ -121,6 +123,11 @@
   sigc::signal<void(const std::vector<BackendServerId>&)>& signal_leaving() {
     return leaving_received_;
   }
+  /// Another instance tells, with its name, to which services it has no path.
+  sigc::signal<void(const std::string&, const std::vector<ServiceId>&)>&
+  signal_paths() {
+    return paths_received_;
+  }
   /// Another instance asks for all known limits of servers, for requests that
   /// crash servers and for servers that leave.
   sigc::signal<void(const Endpoint&)>& signal_limits_question() {
@@ -251,6 +258,8 @@
   sigc::signal<void(const std::vector<gateway::LimitNews>&)> limits_received_;
   sigc::signal<void(const gateway::CrashMessage&)> crashes_received_;
   sigc::signal<void(const std::vector<BackendServerId>&)> leaving_received_;
+  sigc::signal<void(const std::string&, const std::vector<ServiceId>&)>
+      paths_received_;
   sigc::signal<void(const Endpoint&)> limits_asked_;
   sigc::signal<void(const LogLine&)> log_;
 };
--- a/src/plugins/gateway/caller_connections.cc
+++ b/src/plugins/gateway/caller_connections.cc
@@ -119,10 +119,11 @@
 }  // namespace
 
 Expected<std::unique_ptr<CallerConnections>> CallerConnections::Listen(
-    net::EventLoop& loop, const Endpoint& endpoint) {
+    net::EventLoop& loop, const Endpoint& endpoint, CallId before_first) {
   auto address = net::ToSocketAddress(endpoint);
   if (!address) return tl::unexpected<Error>(address.error());
   std::unique_ptr<CallerConnections> result(new CallerConnections(loop));
+  result->last_call_id_ = before_first.value();
   result->listener_.reset(evconnlistener_new_bind(
       loop.base(), &CallerConnections::OnAccept, result.get(),
       LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
--- a/src/plugins/gateway/caller_connections.h
+++ b/src/plugins/gateway/caller_connections.h
@@ -28,9 +28,10 @@
 
 class CallerConnections {
  public:
-  /// Returns kInternal if the endpoint cannot be bound.
+  /// Returns kInternal if the endpoint cannot be bound. The numbers of calls
+  /// follow `before_first`.
   static Expected<std::unique_ptr<CallerConnections>> Listen(
-      net::EventLoop& loop, const Endpoint& endpoint);
+      net::EventLoop& loop, const Endpoint& endpoint, CallId before_first = {});
   ~CallerConnections();
   CallerConnections(const CallerConnections&) = delete;
   CallerConnections& operator=(const CallerConnections&) = delete;
--- a/src/plugins/gateway/gateway_metrics.cc
+++ b/src/plugins/gateway/gateway_metrics.cc
@@ -33,6 +33,12 @@
   for (const auto& [reason, n] : counters.second_attempts) {
     AddSample(second_attempts, static_cast<double>(n), {{"reason", reason}});
   }
+  auto& relays = AddFamily(families, "gateway_relays_total",
+                           "Requests passed on to other instances, by result",
+                           MetricType::Counter);
+  for (const auto& [result, n] : counters.relays) {
+    AddSample(relays, static_cast<double>(n), {{"result", result}});
+  }
   auto& permits = AddFamily(families, "gateway_permits_total",
                             "Permits asked for servers with limits, by result",
                             MetricType::Counter);
@@ -107,6 +113,15 @@
   AddCounter(families, "gateway_abandoned_total",
              "Requests whose caller left before the answer",
              counters.abandoned);
+  AddCounter(families, "gateway_relayed_requests_total",
+             "Requests that other instances passed on to this one",
+             counters.relayed_here);
+  auto& lost = AddFamily(families, "gateway_path_lost",
+                         "Services of which this instance reaches no server",
+                         MetricType::Gauge);
+  for (const auto& service : LostPaths(forwarder)) {
+    AddSample(lost, 1, {{"service", service}});
+  }
   AddCounter(families, "gateway_ejections_total",
              "Ejections of backend servers", counters.ejections);
   AddAnswers(families, counters);
--- a/src/plugins/gateway/gateway_task.cc
+++ b/src/plugins/gateway/gateway_task.cc
@@ -1,5 +1,6 @@
 #include "plugins/gateway/gateway_task.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace ibisladder::gateway {
@@ -16,6 +17,23 @@
 /// A server's answer is read no further while its caller has not taken this
 /// many bytes.
 constexpr std::size_t kMaxBacklogBytes = 128U << 10U;
+/// Calls of other instances have numbers from here on.
+constexpr CallId kFirstRelayedCall(std::uint64_t{1} << 62U);
+/// Added by instances to the requests that they pass on.
+constexpr std::size_t kRelayHeaderBytes = 512;
+/// Longer than instances keep connections to each other.
+constexpr Duration kRelayIdleTimeout = Seconds(30);
+constexpr int kStatusBadRequest = 400;
+
+bool IsRelayed(CallId call) { return call > kFirstRelayedCall; }
+
+/// Limits for requests that other instances have accepted from callers.
+CallerLimits RelayLimits(const CallerLimits& limits) {
+  CallerLimits result = limits;
+  result.header_bytes += kRelayHeaderBytes;
+  result.idle_timeout = std::max(limits.idle_timeout, kRelayIdleTimeout);
+  return result;
+}
 
 }  // namespace
 
@@ -23,16 +41,26 @@
     net::EventLoop& loop, const Options& options) {
   auto callers = CallerConnections::Listen(loop, options.callers);
   if (!callers) return tl::unexpected<Error>(callers.error());
+  std::unique_ptr<CallerConnections> relays;
+  if (options.relays.port != 0) {
+    auto listening =
+        CallerConnections::Listen(loop, options.relays, kFirstRelayedCall);
+    if (!listening) return tl::unexpected<Error>(listening.error());
+    relays = std::move(*listening);
+    relays->SetLimits(RelayLimits({}));
+  }
   std::unique_ptr<GatewayTask> task(
-      new GatewayTask(loop, options, std::move(*callers)));
+      new GatewayTask(loop, options, std::move(*callers), std::move(relays)));
   task->ConnectSignals();
   return task;
 }
 
 GatewayTask::GatewayTask(net::EventLoop& loop, const Options& options,
-                         std::unique_ptr<CallerConnections> callers)
+                         std::unique_ptr<CallerConnections> callers,
+                         std::unique_ptr<CallerConnections> relays)
     : options_(options),
       callers_(std::move(callers)),
+      relays_(std::move(relays)),
       servers_(loop, options.answer_limits, options.codec.matches_request),
       probes_(loop),
       forwarder_(MakeForwarder(options.forwarder, net::MonotonicNow())),
@@ -41,24 +69,19 @@
       sweep_timer_(loop, net::Timer::Kind::kPeriodic, kSweepInterval, [this] {
         const TimePoint now = net::MonotonicNow();
         callers_->Sweep(now);
+        if (relays_) relays_->Sweep(now);
         servers_.Sweep(now);
         probes_.CloseIdle(now);
       }) {}
 
 void GatewayTask::ConnectSignals() {
-  callers_->signal_request().connect([this](CallId id, http1::Request& it) {
-    CallerRequest request = options_.codec.decode_request(id, std::move(it));
-    request.caller_address = callers_->AddressOf(id);
-    RequestArrived(*forwarder_, std::move(request), net::MonotonicNow());
-    PerformActions();
-  });
-  callers_->signal_caller_left().connect([this](CallId id) {
-    // The rest of an answer that runs on is read and dropped.
-    HandleDrained(id);
-    streams_.erase(id);
-    CallerLeft(*forwarder_, id, net::MonotonicNow());
-    PerformActions();
-  });
+  ConnectCallers(*callers_);
+  if (relays_) ConnectCallers(*relays_);
+  servers_.signal_spare_ended().connect(
+      [this](BackendServerId server, bool is_open) {
+        PathTested(*forwarder_, server, is_open, net::MonotonicNow());
+        PerformActions();
+      });
   servers_.EnableStreaming(kMaxWholeAnswerBytes);
   servers_.signal_answer_started().connect(
       [this](AttemptId id, http1::Response& it) { HandleAnswerStart(id, it); });
@@ -68,7 +91,6 @@
       });
   servers_.signal_answer().connect(
       [this](AttemptId id, http1::Response& it) { HandleAnswer(id, it); });
-  callers_->signal_drained().connect([this](CallId id) { HandleDrained(id); });
   servers_.signal_failure().connect([this](const ExchangeFailure& it) {
     LogFailure(it);
     const TimePoint now = net::MonotonicNow();
@@ -95,10 +117,62 @@
   });
 }
 
+void GatewayTask::ConnectCallers(CallerConnections& connections) {
+  connections.signal_request().connect(
+      [this](CallId id, http1::Request& it) { HandleRequest(id, it); });
+  connections.signal_caller_left().connect([this](CallId id) {
+    // The rest of an answer that runs on is read and dropped.
+    HandleDrained(id);
+    streams_.erase(id);
+    CallerLeft(*forwarder_, id, net::MonotonicNow());
+    PerformActions();
+  });
+  connections.signal_drained().connect(
+      [this](CallId id) { HandleDrained(id); });
+}
+
+CallerConnections& GatewayTask::ConnectionsOf(CallId call) {
+  return IsRelayed(call) ? *relays_ : *callers_;
+}
+
+void GatewayTask::HandleRequest(CallId id, http1::Request& it) {
+  // Only other instances may say how a request is to be treated.
+  const auto text = TakeField(it.headers, kRelayField);
+  std::optional<RelayOrigin> origin;
+  if (IsRelayed(id)) {
+    origin = text ? ParseRelayOrigin(*text) : std::nullopt;
+    if (!origin) {
+      relays_->Answer(id, {kStatusBadRequest, {}, "", false}, true);
+      return;
+    }
+  }
+  CallerRequest request = options_.codec.decode_request(id, std::move(it));
+  request.caller_address =
+      origin ? origin->caller_address : callers_->AddressOf(id);
+  request.relayed = std::move(origin);
+  RequestArrived(*forwarder_, std::move(request), net::MonotonicNow());
+  PerformActions();
+}
+
+http1::Response GatewayTask::EncodeAnswer(CallId call,
+                                          CallerAnswer answer) const {
+  const int code = static_cast<int>(answer.code);
+  const bool is_own = answer.code != ResultCode::kDone;
+  http1::Response response = options_.codec.encode_answer(std::move(answer));
+  if (!IsRelayed(call)) return response;
+  TakeField(response.headers, kRelayResultField);
+  if (is_own) {
+    response.headers.emplace_back(kRelayResultField, std::to_string(code));
+  }
+  return response;
+}
+
 void GatewayTask::InstallConfiguration(const ConfigurationPtr& configuration) {
   gateway::InstallConfiguration(*forwarder_, configuration,
                                 net::MonotonicNow());
-  callers_->SetLimits(CurrentConfiguration(*forwarder_)->limits);
+  const CallerLimits& limits = CurrentConfiguration(*forwarder_)->limits;
+  callers_->SetLimits(limits);
+  if (relays_) relays_->SetLimits(RelayLimits(limits));
   PerformActions();
 }
 
@@ -144,11 +218,20 @@
   PerformActions();
 }
 
-void GatewayTask::PrepareToStop() { callers_->CloseAfterAnswers(); }
+void GatewayTask::MergePaths(const std::string& peer,
+                             std::span<const ServiceId> lost) {
+  gateway::MergePaths(*forwarder_, peer, lost, net::MonotonicNow());
+}
+
+void GatewayTask::PrepareToStop() {
+  callers_->CloseAfterAnswers();
+  if (relays_) relays_->CloseAfterAnswers();
+}
 
 void GatewayTask::StopAccepting() {
   gateway::StopAccepting(*forwarder_);
   callers_->CloseIdle();
+  if (relays_) relays_->CloseIdle();
 }
 
 void GatewayTask::Tick() {
@@ -158,7 +241,8 @@
 
 void GatewayTask::HandleAnswerStart(AttemptId attempt, http1::Response& head) {
   const auto call = CallOf(*forwarder_, attempt);
-  if (!call || !callers_->CanStream(*call, http1::HasLength(head))) return;
+  if (!call || !ConnectionsOf(*call).CanStream(*call, http1::HasLength(head)))
+    return;
   AnswerStarted(*forwarder_, attempt,
                 options_.codec.decode_answer(std::move(head)),
                 net::MonotonicNow());
@@ -171,8 +255,9 @@
   }
   const auto call = CallOf(*forwarder_, attempt);
   if (!call) return;
-  callers_->AppendToAnswer(*call, part);
-  if (callers_->BacklogOf(*call) <= kMaxBacklogBytes) return;
+  CallerConnections& connections = ConnectionsOf(*call);
+  connections.AppendToAnswer(*call, part);
+  if (connections.BacklogOf(*call) <= kMaxBacklogBytes) return;
   servers_.SetPaused(attempt, true);
   HoldUpStream(*forwarder_, *call, true, net::MonotonicNow());
 }
@@ -185,11 +270,16 @@
   }
   const auto call = CallOf(*forwarder_, attempt);
   if (call && streams_.contains(*call)) {
-    callers_->AppendToAnswer(*call, std::exchange(response.body, {}));
+    ConnectionsOf(*call).AppendToAnswer(*call,
+                                        std::exchange(response.body, {}));
+  }
+  std::optional<std::string> result;
+  if (IsRelay(*forwarder_, attempt)) {
+    result = TakeField(response.headers, kRelayResultField);
   }
-  AttemptAnswered(*forwarder_, attempt,
-                  options_.codec.decode_answer(std::move(response)),
-                  net::MonotonicNow());
+  ServerAnswer answer = options_.codec.decode_answer(std::move(response));
+  if (result) answer.relay_result = ParseRelayResult(*result);
+  AttemptAnswered(*forwarder_, attempt, std::move(answer), net::MonotonicNow());
   PerformActions();
 }
 
@@ -219,7 +309,10 @@
 }
 
 void GatewayTask::Perform(const SendAttempt& action) {
-  const http1::Request request = options_.codec.encode_attempt(action);
+  http1::Request request = options_.codec.encode_attempt(action);
+  if (action.relay) {
+    request.headers.emplace_back(kRelayField, FormatRelayOrigin(*action.relay));
+  }
   std::string bytes = http1::FormatRequest(request, false);
   if (action.leaves_zone) {
     CountBytes(zone_traffic_, Cargo::kRequests, bytes.size());
@@ -235,26 +328,27 @@
 
 void GatewayTask::Perform(AnswerCaller& action) {
   const bool close = action.answer.close;
-  callers_->Answer(action.call,
-                   options_.codec.encode_answer(std::move(action.answer)),
-                   close);
+  ConnectionsOf(action.call)
+      .Answer(action.call, EncodeAnswer(action.call, std::move(action.answer)),
+              close);
 }
 
 void GatewayTask::Perform(StreamAnswer& action) {
   servers_.Stream(action.attempt);
   streams_[action.call] = action.attempt;
-  callers_->StartAnswer(action.call,
-                        options_.codec.encode_answer(std::move(action.answer)));
+  ConnectionsOf(action.call)
+      .StartAnswer(action.call,
+                   EncodeAnswer(action.call, std::move(action.answer)));
 }
 
 void GatewayTask::Perform(const EndAnswer& action) {
   streams_.erase(action.call);
-  callers_->EndAnswer(action.call);
+  ConnectionsOf(action.call).EndAnswer(action.call);
 }
 
 void GatewayTask::Perform(const BreakAnswer& action) {
   streams_.erase(action.call);
-  callers_->BreakAnswer(action.call);
+  ConnectionsOf(action.call).BreakAnswer(action.call);
 }
 
 void GatewayTask::Perform(const SendProbe& action) {
@@ -292,6 +386,18 @@
   leaving_shared_.emit(action.servers);
 }
 
+void GatewayTask::Perform(const TestPath& action) {
+  servers_.OpenSpare(action.server, action.endpoint);
+}
+
+void GatewayTask::Perform(const CloseIdleConnections& action) {
+  servers_.CloseIdle(action.server);
+}
+
+void GatewayTask::Perform(const SharePaths& action) {
+  paths_shared_.emit(action.lost);
+}
+
 void GatewayTask::Perform(const LogLine& action) { log_.emit(action); }
 
 }  // namespace ibisladder::gateway
--- a/src/plugins/gateway/gateway_task.h
+++ b/src/plugins/gateway/gateway_task.h
@@ -34,6 +34,9 @@
  public:
   struct Options {
     Endpoint callers;
+    /// Takes requests that other instances pass on; without a port none are
+    /// taken.
+    Endpoint relays;
     ForwarderSettings forwarder;
     MessageCodec codec;
     /// Limits for backend servers' answers.
@@ -56,6 +59,7 @@
   void MergeLimits(std::span<const LimitNews> news);
   void MergeCrashes(const CrashMessage& message);
   void MergeLeaving(std::span<const BackendServerId> servers);
+  void MergePaths(const std::string& peer, std::span<const ServiceId> lost);
   /// Continues to serve requests, but closes each connection after its answer.
   void PrepareToStop();
   /// Refuses new requests and closes connections without open requests.
@@ -83,6 +87,10 @@
   sigc::signal<void(const std::vector<BackendServerId>&)>& signal_leaving() {
     return leaving_shared_;
   }
+  /// Services to which this instance has no path, for all other instances.
+  sigc::signal<void(const std::vector<ServiceId>&)>& signal_paths() {
+    return paths_shared_;
+  }
   sigc::signal<void(const LogLine&)>& signal_log() { return log_; }
 
   const Forwarder& forwarder() const { return *forwarder_; }
@@ -93,9 +101,16 @@
 
  private:
   GatewayTask(net::EventLoop& loop, const Options& options,
-              std::unique_ptr<CallerConnections> callers);
+              std::unique_ptr<CallerConnections> callers,
+              std::unique_ptr<CallerConnections> relays);
 
   void ConnectSignals();
+  void ConnectCallers(CallerConnections& connections);
+  /// Returns the connections of callers or of other instances.
+  CallerConnections& ConnectionsOf(CallId call);
+  void HandleRequest(CallId id, http1::Request& request);
+  /// Returns the answer as callers get it, or other instances.
+  http1::Response EncodeAnswer(CallId call, CallerAnswer answer) const;
   void Tick();
   void LogFailure(const ExchangeFailure& failure);
   /// Ask the forwarder whether an answer may be streamed, and pass on its parts
@@ -118,6 +133,9 @@
   void Perform(const ShareLimits& action);
   void Perform(const ShareCrashes& action);
   void Perform(const ShareLeaving& action);
+  void Perform(const TestPath& action);
+  void Perform(const CloseIdleConnections& action);
+  void Perform(const SharePaths& action);
   void Perform(const LogLine& action);
 
   struct Probe {
@@ -127,6 +145,9 @@
 
   Options options_;
   std::unique_ptr<CallerConnections> callers_;
+  /// Connections of other instances that pass requests on; null without.
+  std::unique_ptr<CallerConnections> relays_;
+  /// To servers, and to other instances for requests that are passed on.
   ServerConnections servers_;
   net::HttpClient probes_;
   ForwarderPtr forwarder_;
@@ -143,6 +164,7 @@
   sigc::signal<void(const std::vector<LimitNews>&)> limits_shared_;
   sigc::signal<void(const CrashMessage&)> crashes_shared_;
   sigc::signal<void(const std::vector<BackendServerId>&)> leaving_shared_;
+  sigc::signal<void(const std::vector<ServiceId>&)> paths_shared_;
   sigc::signal<void(const LogLine&)> log_;
 };
 
--- a/src/plugins/gateway/server_connections.cc
+++ b/src/plugins/gateway/server_connections.cc
@@ -33,6 +33,8 @@
   http1::ResponseParser parser;
   BackendServerId server;
   bool is_connected = false;
+  /// Being opened without a request.
+  bool is_spare = false;
   TimePoint opened_at;
   /// Empty while the connection is idle.
   std::optional<AttemptId> attempt;
@@ -125,7 +127,9 @@
 
 void ServerConnections::Send(ServerExchange exchange) {
   ServerConnection* connection = TakeIdle(exchange.server);
-  if (connection == nullptr) connection = &Open(exchange);
+  if (connection == nullptr) {
+    connection = &Open(exchange.server, exchange.endpoint);
+  }
   connection->attempt = exchange.attempt;
   connection->request_id = std::move(exchange.request_id);
   connection->request_bytes = exchange.bytes.size();
@@ -152,19 +156,33 @@
   return nullptr;
 }
 
-ServerConnection& ServerConnections::Open(const ServerExchange& exchange) {
+void ServerConnections::OpenSpare(BackendServerId server,
+                                  const Endpoint& endpoint) {
+  Open(server, endpoint).is_spare = true;
+}
+
+void ServerConnections::CloseIdle(BackendServerId server) {
+  const auto it = idle_.find(server);
+  if (it == idle_.end()) return;
+  for (const std::uint64_t id : std::vector<std::uint64_t>(it->second)) {
+    Close(id);
+  }
+}
+
+ServerConnection& ServerConnections::Open(BackendServerId server,
+                                          const Endpoint& endpoint) {
   bufferevent* bev = bufferevent_socket_new(
       loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   const std::uint64_t id = ++last_connection_id_;
   auto owned = std::make_unique<ServerConnection>(this, id, bev, limits_);
   ServerConnection& connection = *owned;
-  connection.server = exchange.server;
+  connection.server = server;
   connection.opened_at = net::MonotonicNow();
   connections_.emplace(id, std::move(owned));
   bufferevent_setcb(bev, &ServerConnections::OnReadable, nullptr,
                     &ServerConnections::OnEvent, &connection);
   bufferevent_enable(bev, EV_READ | EV_WRITE);
-  const auto address = net::ToSocketAddress(exchange.endpoint);
+  const auto address = net::ToSocketAddress(endpoint);
   // A failure is reported to OnEvent, or becomes a connect timeout in Sweep.
   if (address) {
     bufferevent_socket_connect(bev, address->get(),
@@ -182,15 +200,35 @@
                                 void* connection) {
   auto& it = *static_cast<ServerConnection*>(connection);
   if ((what & BEV_EVENT_CONNECTED) != 0) {
-    it.is_connected = true;
     const int on = 1;
     setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &on,
                sizeof(on));
+    it.connections->HandleConnected(it);
     return;
   }
   it.connections->HandleDisconnect(it, (what & BEV_EVENT_EOF) != 0);
 }
 
+void ServerConnections::HandleConnected(ServerConnection& connection) {
+  connection.is_connected = true;
+  if (!std::exchange(connection.is_spare, false)) return;
+  const BackendServerId server = connection.server;
+  KeepOrClose(connection, kIdleTimeout);
+  spare_ended_.emit(server, true);
+}
+
+void ServerConnections::KeepOrClose(ServerConnection& connection,
+                                    Duration idle_timeout) {
+  auto& idle = idle_[connection.server];
+  if (idle.size() >= kMaxIdleConnections) {
+    Close(connection.id);
+    return;
+  }
+  connection.idle_since = net::MonotonicNow();
+  connection.idle_timeout = idle_timeout;
+  idle.push_back(connection.id);
+}
+
 void ServerConnections::Read(ServerConnection& connection) {
   // Without an open request, the bytes are a late or second answer.
   if (!connection.attempt) {
@@ -284,17 +322,14 @@
   const AttemptId attempt = *std::exchange(connection.attempt, std::nullopt);
   connection_of_attempt_.erase(attempt);
   received_bytes_ -= std::exchange(connection.answer_bytes, 0);
-  auto& idle = idle_[connection.server];
   // If the answer came early, the rest of the request is still being sent.
   const bool is_reusable =
       is_intact && responses.size() == 1 && response.keep_alive &&
       !connection.parser.in_message() && UnsentBytes(connection) == 0;
-  if (is_reusable && idle.size() < kMaxIdleConnections) {
-    connection.idle_since = net::MonotonicNow();
-    connection.idle_timeout = IdleTimeoutOf(response);
+  if (is_reusable) {
     // The end of an idle connection must be noticed, also after a pause.
     bufferevent_enable(connection.bev, EV_READ);
-    idle.push_back(connection.id);
+    KeepOrClose(connection, IdleTimeoutOf(response));
   } else {
     Close(connection.id);
   }
@@ -303,7 +338,7 @@
 
 void ServerConnections::HandleDisconnect(ServerConnection& connection,
                                          bool is_eof) {
-  if (!connection.attempt) {
+  if (!connection.attempt && !connection.is_spare) {
     Close(connection.id);
     return;
   }
@@ -333,7 +368,10 @@
   result.connection_age = net::MonotonicNow() - connection.opened_at;
   result.unwritten = UnsentBytes(connection);
   result.written = connection.request_bytes - result.unwritten;
+  const BackendServerId server = connection.server;
+  const bool is_spare = connection.is_spare;
   Close(connection.id);
+  if (is_spare) spare_ended_.emit(server, false);
   if (!attempt) return;
   connection_of_attempt_.erase(*attempt);
   result.attempt = *attempt;
@@ -367,7 +405,8 @@
         !it->is_connected && now - it->opened_at > kConnectTimeout;
     if (is_due && !IsOpened(*it)) {
       unconnected.push_back(id);
-    } else if (!it->attempt && now - it->idle_since > it->idle_timeout) {
+    } else if (!it->attempt && !it->is_spare &&
+               now - it->idle_since > it->idle_timeout) {
       expired.push_back(id);
     }
   }
--- a/src/plugins/gateway/server_connections.h
+++ b/src/plugins/gateway/server_connections.h
@@ -61,6 +61,11 @@
   /// Sends a request. Exactly one of the two signals follows, unless the
   /// attempt is cancelled before; none is emitted from within Send.
   void Send(ServerExchange exchange);
+  /// Opens a connection that the next request to the server uses.
+  /// `signal_spare_ended` follows, never from within this function.
+  void OpenSpare(BackendServerId server, const Endpoint& endpoint);
+  /// Closes the server's connections without a request.
+  void CloseIdle(BackendServerId server);
   /// Closes the attempt's connection; no signal follows.
   void Cancel(AttemptId attempt);
   /// Lets answers be streamed: at `threshold` bytes of a body,
@@ -89,6 +94,11 @@
     return failure_;
   }
 
+  /// A spare connection was opened, or could not be.
+  sigc::signal<void(BackendServerId, bool)>& signal_spare_ended() {
+    return spare_ended_;
+  }
+
   std::size_t open_connections() const { return connections_.size(); }
   /// Bytes that were read of answers that are not complete.
   std::size_t received_bytes() const { return received_bytes_; }
@@ -101,7 +111,12 @@
                       void* connection);
 
   Internal::ServerConnection* TakeIdle(BackendServerId server);
-  Internal::ServerConnection& Open(const ServerExchange& exchange);
+  Internal::ServerConnection& Open(BackendServerId server,
+                                   const Endpoint& endpoint);
+  void HandleConnected(Internal::ServerConnection& connection);
+  /// Keeps a connection without a request for the next one, or closes it.
+  void KeepOrClose(Internal::ServerConnection& connection,
+                   Duration idle_timeout);
   void Read(Internal::ServerConnection& connection);
   /// `is_intact`: the input consists of valid answers, and the connection is
   /// open.
@@ -131,6 +146,7 @@
   sigc::signal<void(AttemptId, http1::Response&)> answer_started_;
   sigc::signal<void(AttemptId, const std::string&)> answer_part_;
   sigc::signal<void(const ExchangeFailure&)> failure_;
+  sigc::signal<void(BackendServerId, bool)> spare_ended_;
 };
 
 }  // namespace ibisladder::gateway
--- a/tests/auto/gateway/fleet_paths.h
+++ b/tests/auto/gateway/fleet_paths.h
@@ -22,6 +22,20 @@
 /// Fails the connects whose time is over.
 void FailHungConnects(FleetSimulation& fleet);
 
+/// Ends the connections for path tests that are due, and begins new ones.
+void EndPathTests(FleetSimulation& fleet);
+/// Tells all instances which paths others have lost.
+void ExchangePaths(FleetSimulation& fleet);
+
+/// Delivers a request to the instance to which it is passed on.
+void DeliverRelay(FleetSimulation& fleet, std::size_t from,
+                  const SendAttempt& attempt);
+/// Returns the answers of requests that were passed on. Returns whether there
+/// were any.
+bool AnswerRelays(FleetSimulation& fleet);
+void CancelRelays(FleetSimulation& fleet, std::size_t from,
+                  const std::vector<AttemptId>& cancelled);
+
 /// Calls that arrived since `first_calls` was taken, and those answered 200.
 struct ServedCalls {
   std::size_t arrived = 0;
--- a/tests/auto/gateway/fleet_simulation.cc
+++ b/tests/auto/gateway/fleet_simulation.cc
@@ -72,6 +72,9 @@
     // Until now, `ends_at` was the time of the dispatch.
     fleet.waited += fleet.now - request.ends_at;
     ++fleet.started;
+    if (request.attempt.request->target.starts_with("/work/")) {
+      ++fleet.executions[request.attempt.request->request_id];
+    }
     request.ends_at = fleet.now + (IsCrashing(fleet, request)
                                        ? kTimeToCrash
                                        : DrawServiceTime(fleet, server));
@@ -144,10 +147,15 @@
     delivered = ExchangePermits(fleet);
     for (std::size_t i = 0; i < fleet.instances.size(); ++i) {
       for (const auto& it : std::exchange(fleet.instances[i].sent, {})) {
-        Deliver(fleet, i, it);
+        if (it.relay) {
+          DeliverRelay(fleet, i, it);
+        } else {
+          Deliver(fleet, i, it);
+        }
         delivered = true;
       }
     }
+    delivered = AnswerRelays(fleet) || delivered;
   }
 }
 
@@ -165,6 +173,7 @@
       std::erase_if(server.waiting, is_cancelled);
     }
     std::erase_if(fleet.hung_connects, is_cancelled);
+    CancelRelays(fleet, i, cancelled);
   }
 }
 
@@ -227,12 +236,14 @@
   DropCancelled(fleet);
   StartCrashedServers(fleet);
   FailHungConnects(fleet);
+  EndPathTests(fleet);
   FinishDue(fleet);
   ArriveDue(fleet, requests_per_second);
   DeliverAll(fleet);
   ExchangeEvidence(fleet);
   ExchangeLimits(fleet);
   ExchangeCrashes(fleet);
+  ExchangePaths(fleet);
 }
 
 ConfigurationPtr MakeConfiguration(const FleetSettings& settings) {
@@ -271,6 +282,7 @@
   settings.zone = member.zone;
   settings.seed = fleet.settings.seed * fleet.members.size() + number;
   ForwarderFixture fixture = MakeFixture(0, settings);
+  fixture.id_prefix = member.name + "-r";
   InstallConfiguration(*fixture.forwarder, MakeConfiguration(fleet.settings),
                        fixture.now);
   DirectorySettings directory;
@@ -288,6 +300,8 @@
       Member member;
       member.zone = ZoneName(ZoneNameOf(zone));
       member.name = ZoneNameOf(zone) + "-instance" + std::to_string(i);
+      member.relay_endpoint = {"127.0.0.1",
+                               static_cast<std::uint16_t>(members.size() + 1)};
       members.push_back(member);
     }
   }
--- a/tests/auto/gateway/fleet_simulation.h
+++ b/tests/auto/gateway/fleet_simulation.h
@@ -38,6 +38,20 @@
   TimePoint ends_at;
 };
 
+/// A connection that an instance opens to test its path.
+struct PathTest {
+  std::size_t instance = 0;
+  BackendServerId server;
+  bool is_open = false;
+  TimePoint ends_at;
+};
+
+/// A request that an instance has passed on.
+struct RelayedCall {
+  std::size_t from = 0;
+  AttemptId attempt;
+};
+
 struct SimulatedServer {
   ServerEntry entry;
   ServerMode mode = ServerMode::kHealthy;
@@ -87,6 +101,9 @@
   int idempotent_percent = 0;
   /// Percentage of the requests that have low priority.
   int low_priority_percent = 0;
+  /// Percentage of the connections that are lost after a request was passed on
+  /// to another instance, which goes on with it.
+  int lost_relays_percent = 0;
   /// Empty: no request crashes servers.
   CrashingRequest crashing;
   std::uint64_t seed = 1;
@@ -109,6 +126,14 @@
   PathLoss path_loss = PathLoss::kHangs;
   /// Attempts whose connect hangs, and when the instance gives it up.
   std::vector<ServerRequest> hung_connects;
+  /// Connections that test the path, and when an instance gives them up.
+  std::vector<PathTest> path_tests;
+  /// Requests that were passed on, by the instance that carries them and their
+  /// call there.
+  std::map<std::pair<std::size_t, CallId>, RelayedCall> relays;
+  std::uint64_t relayed = 0;
+  /// How often servers began to execute each at-most-once request, by its id.
+  std::map<std::string, int> executions;
   std::size_t permit_messages = 0;
   std::map<std::string, SimulatedServer> servers;
   /// Idle connections: when each was last used, by instance and server.
--- a/tests/auto/gateway/forwarder_fixture.h
+++ b/tests/auto/gateway/forwarder_fixture.h
@@ -15,6 +15,8 @@
   ForwarderPtr forwarder;
   TimePoint now;
   std::uint64_t last_call = 0;
+  /// Beginning of the ids of further requests.
+  std::string id_prefix = "r";
   /// Sender of further requests.
   std::string caller_address = "10.0.0.1";
   std::vector<SendAttempt> sent;
@@ -30,6 +32,9 @@
   std::vector<LimitNews> limits;
   std::vector<CrashMessage> crashes;
   std::vector<BackendServerId> leaving;
+  std::vector<TestPath> path_tests;
+  std::vector<BackendServerId> closed_idle;
+  std::vector<SharePaths> paths;
   std::vector<LogLine> log;
 };
 
