--- a/src/libs/gateway/answers.cc
+++ b/src/libs/gateway/answers.cc
@@ -191,6 +191,10 @@
   if (call.is_streaming || ClassifyAnswer(head) != AttemptEnd::kOk) return;
   call.is_streaming = true;
   it->second.is_streaming = true;
+  if (it->second.peer.empty()) {
+    RecordPathAnswer(forwarder.services.at(it->second.service).path,
+                     context.now);
+  }
   // Ignores attempts at other instances.
   detection::AttemptEnded(*forwarder.services.at(it->second.service).detector,
                           id, AttemptEnd::kOk, context.now);
--- a/src/libs/gateway/messages.h
+++ b/src/libs/gateway/messages.h
@@ -158,8 +158,8 @@
   std::vector<detection::Digest> digests;
 };
 
-/// Opens a connection to the server, which further requests may use, to find
-/// out whether this instance reaches it. PathTested must follow.
+/// Opens a connection to the server and closes it again, to find out whether
+/// this instance reaches it. PathTested must follow.
 struct TestPath {
   BackendServerId server;
   Endpoint endpoint;
--- a/src/plugins/gateway/server_connections.cc
+++ b/src/plugins/gateway/server_connections.cc
@@ -233,7 +233,7 @@
   connection.is_connected = true;
   if (!std::exchange(connection.is_spare, false)) return;
   const BackendServerId server = connection.server;
-  KeepOrClose(connection, kIdleTimeout);
+  Close(connection.id);
   spare_ended_.emit(server, true);
 }
 
--- a/src/plugins/gateway/server_connections.h
+++ b/src/plugins/gateway/server_connections.h
@@ -73,7 +73,8 @@
   /// Sends a request. Exactly one of the two signals follows, unless the
   /// attempt is cancelled before; none is emitted from within Send.
   void Send(ServerExchange exchange);
-  /// Opens a connection that the next request to the server uses.
+  /// Opens a connection to find out whether the server is reached, and closes
+  /// it again, since servers bound the number of their connections.
   /// `signal_spare_ended` follows, never from within this function.
   void OpenSpare(BackendServerId server, const Endpoint& endpoint);
   /// Closes the server's connections without a request.
--- a/tests/auto/gateway/relayed_requests_test.cc
+++ b/tests/auto/gateway/relayed_requests_test.cc
@@ -107,6 +107,7 @@
   CPPUNIT_TEST(RequestsOfOthersThatCannotBeTreatedAlikeAreRefused);
   CPPUNIT_TEST(StreamsThatBreakAtTheOtherInstanceBreakHere);
   CPPUNIT_TEST(FailuresOfTheOwnPathAreNotToldAsEvidence);
+  CPPUNIT_TEST(AnswersThatBeginShowThatThePathIsSound);
   CPPUNIT_TEST(OriginsAreWrittenAndRead);
   CPPUNIT_TEST_SUITE_END();
 
@@ -384,6 +385,35 @@
     CPPUNIT_ASSERT(servers.size() <= 1);
   }
 
+  /// Guards against tests of the path while servers send large answers, which
+  /// take long to complete.
+  void AnswersThatBeginShowThatThePathIsSound() {
+    auto fixture = MakeFixture(1);
+    const CallId call = Arrive(fixture, "/read/1");
+    Advance(fixture, Millis(400));
+    ServerAnswer head;
+    head.status = kStatusDone;
+    head.is_signed = true;
+    AnswerStarted(*fixture.forwarder, LastAttempt(fixture, call).attempt, head,
+                  fixture.now);
+    Advance(fixture, Millis(100));
+    const CallId other = Arrive(fixture, "/work/1");
+    Advance(fixture, Millis(400));
+    CPPUNIT_ASSERT_EQUAL(1, AttemptsOf(fixture, other));
+    CPPUNIT_ASSERT(fixture.path_tests.empty());
+    Section("a request sent before it is not silent", [&] {
+      auto late = MakeFixture(1);
+      const CallId first = Arrive(late, "/read/1");
+      const CallId second = Arrive(late, "/work/1");
+      Advance(late, Millis(400));
+      AnswerStarted(*late.forwarder, LastAttempt(late, first).attempt, head,
+                    late.now);
+      Advance(late, Millis(1500));
+      CPPUNIT_ASSERT_EQUAL(1, AttemptsOf(late, second));
+      CPPUNIT_ASSERT(late.path_tests.empty());
+    });
+  }
+
   void OriginsAreWrittenAndRead() {
     RelayOrigin origin = MakeOrigin(3);
     origin.version = ConfigVersion(~std::uint64_t{0});
