Show that late writes are cut off by a long stop

With a grace_s of 10, new requests are served for 3.33 s after SIGTERM. A write that takes 6.5 s longer is cut off when the process ends, which the rule allows only for requests of the first 3 s.

--- a/review/standins/standins.cc
+++ b/review/standins/standins.cc
@@ -485,7 +485,7 @@
 }
 
 Entry::Entry(const std::string& ip, const std::string& name,
-             std::uint16_t store, const std::string& directory)
+             std::uint16_t store, const std::string& directory, int grace)
     : ip_(ip),
       settings_(directory + "/" + name + ".toml"),
       output_(directory + "/" + name + ".out") {
@@ -519,7 +519,9 @@
          "\"recover\",\"health\",\"platform\"]\n[terms.fault_tolerance]\n"
          "machines = 2\nzones = 0\nregions = 0\n[terms.bounds]\n"
          "seed_lag_s = 3\nreuse_after_s = 2\nstable_s = 3\nack_s = 4\n"
-         "sync_s = 4\ndrain_s = 2\ngrace_s = 6\nloss_slack_s = 0.2\n"
+         "sync_s = 4\ndrain_s = 2\ngrace_s = "
+      << grace
+      << "\nloss_slack_s = 0.2\n"
          "apply_s = 2\nrevert_s = 0.25\nouter_s = 5\nretry_ratio = 0.2\n"
          "retry_window_s = 10\nretry_slack = 62\nrecover_s = 15\n"
          "ttl_max_s = 5\nprobes_per_s = 3\nfloor_share = 0.7\n";
--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -187,7 +187,7 @@
 class Entry {
  public:
   Entry(const std::string& ip, const std::string& name, std::uint16_t store,
-        const std::string& directory);
+        const std::string& directory, int grace = 6);
   ~Entry();
   void Start();
   void Signal(int number) const;
