--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -32,11 +32,11 @@
 constexpr double kReadWork = 1.2;
 /// For kLeaveTime of each kPeriod, this share of the readers leaves after half
 /// of the deadline, at most kLeaveSpread later.
-constexpr double kPeriod = 9;
+constexpr double kPeriod = 7;
 constexpr double kLeaveTime = 5;
 constexpr double kLeaveShare = 0.3;
 constexpr double kLeaveAfter = 1.0;
-constexpr double kLeaveSpread = 0.1;
+constexpr double kLeaveSpread = 0.05;
 constexpr int kWriters = 12;
 constexpr double kWriteWork = 0.8;
 constexpr std::size_t kAllowedLosses = 3;
