--- a/review/standins/standins.cc
+++ b/review/standins/standins.cc
@@ -662,8 +662,11 @@
 }
 
 std::string MakeDirectory() {
-  std::string pattern = "/tmp/review-XXXXXX";
-  return mkdtemp(pattern.data()) == nullptr ? "/tmp" : pattern;
+  const char* parent = std::getenv("TMPDIR");
+  std::string pattern =
+      std::string(parent == nullptr ? "/tmp" : parent) + "/review-XXXXXX";
+  if (mkdtemp(pattern.data()) == nullptr) std::exit(kNotRun);
+  return pattern;
 }
 
 bool HasTrouble() {
