Report all requests of a closed connection before any is placed again

Cause: CallerConnections::Close removed a connection and then reported its requests one by one, while the later ones still stood in connection_of_call_. The forwarder placed waiting requests after each report and refused one of these, whose answer looked up the connection that was gone, within a callback of libevent.

Change: the tables agree before anything is reported, and all requests of a connection are reported at once. The forwarder ends all of them before it looks for servers, so that none takes the place of one that left with it (40 attempts in place of 4 on the code before, ForwarderTest::CallersLeaveBeforeTheAnswer).

Actions are performed in their order now. Deadlines of calls that another call's end has ended are skipped; by reading.

--- a/src/libs/gateway/forwarder.cc
+++ b/src/libs/gateway/forwarder.cc
@@ -46,7 +46,11 @@
   for (const auto& [id, call] : context.forwarder.calls) {
     (context.now >= call.deadline ? due : running).push_back(id);
   }
-  for (const CallId it : due) Internal::HandleDeadline(context, it);
+  for (const CallId it : due) {
+    // The end of one call may have ended another one.
+    if (!context.forwarder.calls.contains(it)) continue;
+    Internal::HandleDeadline(context, it);
+  }
   for (const CallId it : running) {
     if (!context.forwarder.calls.contains(it)) continue;
     if (Internal::RefuseBeforeStop(context, it)) continue;
@@ -178,12 +182,17 @@
   PumpQueues(context);
 }
 
-void CallerLeft(Forwarder& forwarder, CallId call, TimePoint now) {
+void CallersLeft(Forwarder& forwarder, std::span<const CallId> calls,
+                 TimePoint now) {
   Context context{forwarder, now};
-  Internal::HandleCallerLeft(context, call);
+  for (const CallId it : calls) Internal::HandleCallerLeft(context, it);
   PumpQueues(context);
 }
 
+void CallerLeft(Forwarder& forwarder, CallId call, TimePoint now) {
+  CallersLeft(forwarder, {&call, 1}, now);
+}
+
 void AnswerStarted(Forwarder& forwarder, AttemptId attempt, ServerAnswer head,
                    TimePoint now) {
   Context context{forwarder, now};
--- a/src/libs/gateway/forwarder.h
+++ b/src/libs/gateway/forwarder.h
@@ -128,8 +128,13 @@
 void StopAccepting(Forwarder& forwarder);
 
 void RequestArrived(Forwarder& forwarder, CallerRequest request, TimePoint now);
-/// Call when the caller's connection was closed. Cancels the attempts of an
-/// idempotent request; those of an at-most-once request run to their end.
+/// Call with the unanswered requests of a caller whose connection was closed,
+/// all at once, so that none is sent in place of another one. Cancels the
+/// attempts of idempotent requests; those of at-most-once requests run to their
+/// end.
+void CallersLeft(Forwarder& forwarder, std::span<const CallId> calls,
+                 TimePoint now);
+/// The same for one request.
 void CallerLeft(Forwarder& forwarder, CallId call, TimePoint now);
 /// An answer has started to arrive that is too large to be kept as a whole.
 /// Returns StreamAnswer if it may be passed on as it arrives; the request is
--- a/src/plugins/gateway/caller_connections.cc
+++ b/src/plugins/gateway/caller_connections.cc
@@ -316,10 +316,12 @@
   const auto connection = std::move(it->second);
   connections_.erase(it);
   ForgetHoldings(*connection);
+  std::vector<CallId> unanswered;
   for (const PendingAnswer& pending : connection->pending_answers) {
     if (connection_of_call_.erase(pending.call) > 0)
-      caller_left_.emit(pending.call);
+      unanswered.push_back(pending.call);
   }
+  if (!unanswered.empty()) callers_left_.emit(unanswered);
 }
 
 }  // namespace ibisladder::gateway
--- a/src/plugins/gateway/caller_connections.h
+++ b/src/plugins/gateway/caller_connections.h
@@ -95,8 +95,11 @@
   sigc::signal<void(CallId, http1::Request&)>& signal_request() {
     return request_;
   }
-  /// Emitted for each unanswered request whose connection is closed.
-  sigc::signal<void(CallId)>& signal_caller_left() { return caller_left_; }
+  /// Emitted with the unanswered requests of a closed connection, of which none
+  /// can be answered any more.
+  sigc::signal<void(const std::vector<CallId>&)>& signal_callers_left() {
+    return callers_left_;
+  }
 
   /// IP address of the caller; empty if it has left.
   std::string AddressOf(CallId call) const;
@@ -158,7 +161,7 @@
       connections_;
   std::unordered_map<CallId, std::uint64_t> connection_of_call_;
   sigc::signal<void(CallId, http1::Request&)> request_;
-  sigc::signal<void(CallId)> caller_left_;
+  sigc::signal<void(const std::vector<CallId>&)> callers_left_;
   sigc::signal<void(CallId)> drained_;
 };
 
--- a/src/plugins/gateway/gateway_actions.cc
+++ b/src/plugins/gateway/gateway_actions.cc
@@ -11,9 +11,16 @@
 }  // namespace
 
 void GatewayTask::PerformActions() {
-  for (auto& action : TakeActions(*forwarder_)) {
-    std::visit([this](auto& it) { Perform(it); }, action);
+  // An action may have an event as its result. The actions that follow from it
+  // may revoke earlier ones, so that these are performed first.
+  if (std::exchange(is_performing_, true)) return;
+  for (auto actions = TakeActions(*forwarder_); !actions.empty();
+       actions = TakeActions(*forwarder_)) {
+    for (auto& action : actions) {
+      std::visit([this](auto& it) { Perform(it); }, action);
+    }
   }
+  is_performing_ = false;
 }
 
 void GatewayTask::Perform(const SendAttempt& action) {
--- a/src/plugins/gateway/gateway_task.cc
+++ b/src/plugins/gateway/gateway_task.cc
@@ -147,13 +147,16 @@
 void GatewayTask::ConnectCallers(CallerConnections& connections) {
   connections.signal_request().connect(
       [this](CallId id, http1::Request& it) { HandleRequest(id, it); });
-  connections.signal_caller_left().connect([this](CallId id) {
-    // The rest of an answer that runs on is read and dropped.
-    HandleDrained(id);
-    streams_.erase(id);
-    CallerLeft(*forwarder_, id, net::MonotonicNow());
-    PerformActions();
-  });
+  connections.signal_callers_left().connect(
+      [this](const std::vector<CallId>& calls) {
+        for (const CallId it : calls) {
+          // The rest of an answer that runs on is read and dropped.
+          HandleDrained(it);
+          streams_.erase(it);
+        }
+        CallersLeft(*forwarder_, calls, net::MonotonicNow());
+        PerformActions();
+      });
   connections.signal_drained().connect(
       [this](CallId id) { HandleDrained(id); });
 }
--- a/src/plugins/gateway/gateway_task.h
+++ b/src/plugins/gateway/gateway_task.h
@@ -155,6 +155,7 @@
   void HandleAnswerPart(AttemptId attempt, const std::string& part);
   void HandleAnswer(AttemptId attempt, http1::Response& response);
   void HandleDrained(CallId call);
+  /// Performs the forwarder's actions in the order in which it decided on them.
   void PerformActions();
   void Perform(const SendAttempt& action);
   void Perform(const CancelAttempt& action);
@@ -192,6 +193,7 @@
   ServerConnections servers_;
   net::HttpClient probes_;
   ForwarderPtr forwarder_;
+  bool is_performing_ = false;
   net::Timer tick_timer_;
   net::Timer sweep_timer_;
   /// Calls whose answers are streamed, and the attempts that they come from.
--- a/tests/auto/gateway/caller_connections_test.cc
+++ b/tests/auto/gateway/caller_connections_test.cc
@@ -85,6 +85,7 @@
   CPPUNIT_TEST(AnswersAreWrittenInRequestOrder);
   CPPUNIT_TEST(AmbiguousRequestsAreRejected);
   CPPUNIT_TEST(ClosedCallerConnectionIsReported);
+  CPPUNIT_TEST(RequestsOfALeavingCallerMayBeAnsweredWhileItIsReported);
   CPPUNIT_TEST(ClosingAnswerIsTheLastOfTheRequestsPassedOn);
   CPPUNIT_TEST(TimedOutRequestsAreNotPassedOn);
   CPPUNIT_TEST(RequestsThatWaitUnreadAreNotTimedOut);
@@ -180,8 +181,8 @@
       call = it;
       caller.reset();
     });
-    callers->signal_caller_left().connect([&](CallId it) {
-      left = it;
+    callers->signal_callers_left().connect([&](const std::vector<CallId>& it) {
+      left = it.front();
       loop->Stop();
     });
     caller.emplace(*loop, endpoint, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
@@ -189,6 +190,40 @@
     CPPUNIT_ASSERT(call && left == call);
   }
 
+  /// Guards against an exception that ends the process: while one request of a
+  /// closed connection is reported, the receiver answers the others.
+  void RequestsOfALeavingCallerMayBeAnsweredWhileItIsReported() {
+    auto loop = std::move(*net::EventLoop::Create());
+    const Endpoint endpoint{"127.0.0.1", kPorts.At(9)};
+    auto callers = std::move(*CallerConnections::Listen(*loop, endpoint));
+    std::optional<RawCaller> caller;
+    std::vector<CallId> calls;
+    std::vector<CallId> left;
+    callers->signal_request().connect([&](CallId it, http1::Request&) {
+      calls.push_back(it);
+      if (calls.size() == 2) caller.reset();
+    });
+    callers->signal_callers_left().connect([&](const std::vector<CallId>& it) {
+      left = it;
+      for (const CallId call : calls) {
+        callers->Answer(call, {503, {}, "", true}, false);
+        callers->StartAnswer(call, {200, {}, "", true});
+        callers->AppendToAnswer(call, "part");
+        callers->EndAnswer(call);
+        callers->BreakAnswer(call);
+        CPPUNIT_ASSERT(callers->CanStream(call, false));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, callers->BacklogOf(call));
+        CPPUNIT_ASSERT_EQUAL(std::string(), callers->AddressOf(call));
+      }
+      loop->Stop();
+    });
+    caller.emplace(*loop, endpoint, kTwoRequests);
+    loop->Run();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, calls.size());
+    CPPUNIT_ASSERT(left == calls);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, callers->open_connections());
+  }
+
   /// Guards against requests that are lost after a stall: the timers are due
   /// before a request is read that has arrived in the meantime.
   void RequestsThatWaitUnreadAreNotTimedOut() {
@@ -276,8 +311,8 @@
       calls.push_back(call);
       if (calls.size() == 2) loop->Stop();
     });
-    callers->signal_caller_left().connect(
-        [&](CallId call) { left.push_back(call); });
+    callers->signal_callers_left().connect(
+        [&](const std::vector<CallId>& it) { left = it; });
     RawCaller caller(*loop, endpoint, kTwoRequests);
     loop->Run();
     Section("the process is to stop while two requests are in flight", [&] {
--- a/tests/auto/gateway/forwarder_test.cc
+++ b/tests/auto/gateway/forwarder_test.cc
@@ -202,6 +202,22 @@
       CPPUNIT_ASSERT(!fixture.answers.contains(call));
       CPPUNIT_ASSERT_EQUAL(std::size_t{0}, OpenCalls(*fixture.forwarder));
     });
+    // Guards against servers that get requests of callers which have left.
+    Section(
+        "waiting request does not take the place of one that left with it", [] {
+          ForwarderFixture fixture = MakeFixture(1);
+          std::vector<CallId> calls;
+          for (int i = 0; i < 40; ++i) {
+            calls.push_back(Arrive(fixture, "/read/1"));
+          }
+          const std::size_t sent = fixture.sent.size();
+          CPPUNIT_ASSERT(sent < calls.size());
+          CallersLeft(*fixture.forwarder, calls, fixture.now);
+          CollectActions(fixture);
+          CPPUNIT_ASSERT_EQUAL(sent, fixture.sent.size());
+          CPPUNIT_ASSERT_EQUAL(sent, fixture.cancelled.size());
+          CPPUNIT_ASSERT_EQUAL(std::size_t{0}, OpenCalls(*fixture.forwarder));
+        });
   }
 
   void ListsAndVersionsAreApplied() {
