Read the store again when it was restored from an older copy

Cause: the store counts its revisions anew after a restore, and nothing read the header Store-Era that says so. The copy of the store's keys kept items of higher revisions, from before, in place of those of the new list.

Change: replies carry the era. In a new one, all revisions are forgotten, open calls are cancelled, the lists are read again, and the instance registers under a new lease, since its own may have been given out again. What an older copy lists is doubted for 10 s: servers and instances that have left stay away, an announced version is not disproved, and keys are verified only by a store that holds the highest known version. E1416 logs a restore.

--- a/src/libs/base/log_event.cc
+++ b/src/libs/base/log_event.cc
@@ -152,6 +152,8 @@
       return "keys_verified";
     case LogEvent::kConfigurationRead:
       return "configuration_read";
+    case LogEvent::kStoreRestored:
+      return "store_restored";
     case LogEvent::kOperatorCall:
       return "operator_call";
     case LogEvent::kOperatorRefused:
--- a/src/libs/base/log_event.h
+++ b/src/libs/base/log_event.h
@@ -81,6 +81,7 @@
   kKeysUnverified = 1413,
   kKeysVerified = 1414,
   kConfigurationRead = 1415,
+  kStoreRestored = 1416,
 
   kOperatorCall = 1501,
   kOperatorRefused = 1502,
--- a/src/libs/storesync/kv_messages.h
+++ b/src/libs/storesync/kv_messages.h
@@ -17,6 +17,10 @@
 /// Counter of the store that increases with each change.
 using Revision = Strong<struct RevisionTag, std::uint64_t>;
 using LeaseId = Strong<struct LeaseIdTag, std::uint64_t>;
+/// Rises each time when the store was restored from an older copy. Revisions
+/// and leases that were given out since that copy are given out again, so that
+/// they mean something only together with the era.
+using StoreEra = Strong<struct StoreEraTag, std::uint64_t>;
 
 struct Item {
   std::string key;
@@ -101,6 +105,7 @@
     kRefused,    ///< The store rejected the call without executing it.
     kOverQuota,  ///< Too many calls.
     kInvalid,    ///< The reply could not be decoded.
+    kOutdated,   ///< The reply is of an earlier era of the store.
   };
   Reason reason = Reason::kNoReply;
 };
--- a/src/libs/storesync/registration.cc
+++ b/src/libs/storesync/registration.cc
@@ -59,6 +59,14 @@
   }
 }
 
+void RegisterAgain(Registration& registration, TimePoint now) {
+  registration.lease.reset();
+  registration.is_stored = false;
+  registration.is_waiting = false;
+  registration.failures = 0;
+  registration.next_call_at = now;
+}
+
 void Deregister(Registration& registration, TimePoint now) {
   registration.is_ending = true;
   registration.next_call_at = now;
--- a/src/libs/storesync/registration.h
+++ b/src/libs/storesync/registration.h
@@ -37,6 +37,9 @@
 /// backoff.
 void HandleReply(Registration& registration, const Reply& reply, TimePoint now,
                  Random& random);
+/// Gives up the lease without ending it, and puts the key under a new one: the
+/// store may have given the lease to another process.
+void RegisterAgain(Registration& registration, TimePoint now);
 /// Ends the lease, and so removes the key, with the next call.
 void Deregister(Registration& registration, TimePoint now);
 
--- a/src/libs/storesync/store_view.cc
+++ b/src/libs/storesync/store_view.cc
@@ -106,6 +106,8 @@
       return "over_quota";
     case CallFailed::Reason::kInvalid:
       return "invalid_reply";
+    case CallFailed::Reason::kOutdated:
+      return "outdated_reply";
   }
   return "unknown";
 }
@@ -193,6 +195,12 @@
   return was_waiting;
 }
 
+void ForgetRevisions(StoreView& view) {
+  for (auto& [key, item] : view.items) item.changed_at = Revision();
+  view.revision = Revision();
+  if (view.is_listing) StartListing(view);
+}
+
 bool RenewWatch(StoreView& view, TimePoint now) {
   if (view.is_listing || !view.is_waiting) return false;
   view.is_waiting = false;
--- a/src/libs/storesync/store_view.h
+++ b/src/libs/storesync/store_view.h
@@ -88,6 +88,11 @@
 /// page are read after it. Returns whether an open call was abandoned.
 bool Relist(StoreView& view, TimePoint now);
 
+/// Forgets all revisions, since the store has begun to count them anew: the
+/// next list replaces all items, and a list that is being read is started
+/// again. Call Relist to read it.
+void ForgetRevisions(StoreView& view);
+
 /// Watches again from the copy's revision, without waiting for the reply to an
 /// open watch. Returns whether a call was abandoned; a list that is being read
 /// goes on.
--- a/src/plugins/fleet/fleet_configuration.cc
+++ b/src/plugins/fleet/fleet_configuration.cc
@@ -98,7 +98,11 @@
   if (configuration) ApplyConfiguration(std::move(*configuration));
   const TimePoint now = net::MonotonicNow();
   const ConfigVersion announced = lag_.announced;
-  if (read.list_sent_at && gateway::RecordRead(lag_, *read.list_sent_at, now)) {
+  // A store that was restored from an older copy may lack a version that is
+  // about to be written again.
+  const bool may_disprove =
+      read.list_sent_at && !gateway::IsDoubted(ended_, now);
+  if (may_disprove && gateway::RecordRead(lag_, *read.list_sent_at, now)) {
     TellKeyStanding();
     Log(LogEvent::kConfigurationFetchFailed,
         {{"version", std::to_string(announced.value())},
--- a/src/plugins/fleet/fleet_freshness.cc
+++ b/src/plugins/fleet/fleet_freshness.cc
@@ -84,7 +84,9 @@
   const auto open = std::ranges::count_if(open_calls_, [](const auto& it) {
     return it.second.owner == CallOwner::kFreshness;
   });
-  if (open >= kMaxOpenChecks) return;
+  const bool has_revision =
+      configuration_view_.revision != storesync::Revision();
+  if (open >= kMaxOpenChecks || !has_revision) return;
   Send(CallOwner::kFreshness,
        storesync::WatchCall{options_.schema.configuration_prefix,
                             configuration_view_.revision, kCheckWait});
@@ -122,7 +124,8 @@
   if (!options_.strict_revocation || !at) return;
   // An unreadable value, or a store that was restored from an older copy, may
   // hide a version that revoked keys of the one in force.
-  if (!stored_version_ || *stored_version_ < lag_.installed) return;
+  if (!stored_version_ || *stored_version_ < gateway::HighestKnown(lag_))
+    return;
   gateway::PassTime(freshness_, net::BootNow());
   gateway::RecordVerified(freshness_, *at, random_);
   TellKeyStanding();
--- a/src/plugins/fleet/fleet_store_calls.cc
+++ b/src/plugins/fleet/fleet_store_calls.cc
@@ -170,17 +170,34 @@
   transport_->Send(last_call_id_, call);
 }
 
-void FleetTask::HandleReply(std::uint64_t id, const storesync::Reply& reply) {
+void FleetTask::HandleReply(std::uint64_t id, const storesync::Reply& reply,
+                            std::optional<storesync::StoreEra> era) {
   const auto it = open_calls_.find(id);
   if (it == open_calls_.end()) return;
   const OpenCall call = it->second;
-  const CallOwner owner = call.owner;
   open_calls_.erase(it);
+  if (!era || !store_era_ || *era == *store_era_) {
+    if (era) store_era_ = era;
+    HandleCurrentReply(call, reply);
+  } else if (*era < *store_era_) {
+    HandleCurrentReply(
+        call, storesync::CallFailed{storesync::CallFailed::Reason::kOutdated});
+  } else {
+    store_era_ = era;
+    TrackStoreAvailability(reply);
+    HandleRestoredStore();
+  }
+}
+
+void FleetTask::HandleCurrentReply(const OpenCall& call,
+                                   const storesync::Reply& reply) {
+  const CallOwner owner = call.owner;
   if (const auto* failed = std::get_if<storesync::CallFailed>(&reply))
     LogFailedCall(call, *failed);
   LogUnreadableItems(call, reply);
   TrackStoreAvailability(reply);
   const TimePoint now = net::MonotonicNow();
+  RecordWrittenEntries(owner, reply);
   switch (owner) {
     case CallOwner::kConfiguration:
       HandleConfigurationReply(call, reply, now);
@@ -230,15 +247,18 @@
        {"failures", std::to_string(consecutive_failures_)}});
 }
 
+std::array<std::pair<FleetTask::CallOwner, storesync::StoreView*>, 3>
+FleetTask::Views() {
+  return {{{CallOwner::kConfiguration, &configuration_view_},
+           {CallOwner::kServers, &servers_view_},
+           {CallOwner::kMembers, &members_view_}}};
+}
+
 void FleetTask::HandleStoreRecovery() {
   const TimePoint now = net::MonotonicNow();
   is_store_lost_ = false;
-  const std::array<std::pair<CallOwner, storesync::StoreView*>, 3> views = {
-      {{CallOwner::kConfiguration, &configuration_view_},
-       {CallOwner::kServers, &servers_view_},
-       {CallOwner::kMembers, &members_view_}}};
   TrackProgress(now);
-  for (const auto& [owner, view] : views) {
+  for (const auto& [owner, view] : Views()) {
     const bool is_receiving = IsReceiving(owner, now);
     storesync::EndOutage(*view, now);
     view->is_waiting = is_receiving;
--- a/src/plugins/fleet/fleet_task.cc
+++ b/src/plugins/fleet/fleet_task.cc
@@ -5,6 +5,7 @@
 
 #include "libs/wire/bounded_archive.h"
 #include "plugins/fleet/datagrams.h"
+#include "plugins/fleet/member_codec.h"
 
 namespace ibisladder::fleet {
 namespace {
@@ -33,25 +34,6 @@
   return settings;
 }
 
-/// Registration of an instance whose program does not know its capacity yet.
-struct MemberWithoutCapacity {
-  gateway::Member& member;
-
-  template <typename Archive>
-  void serialize(Archive& archive) {
-    archive(member.name, member.incarnation, member.zone,
-            member.caller_endpoint, member.peer_endpoint,
-            member.relay_endpoint);
-  }
-};
-
-bool DecodeMember(std::string_view bytes, gateway::Member& member) {
-  if (wire::DecodePortable(bytes, member)) return true;
-  member = {};
-  MemberWithoutCapacity earlier{member};
-  return wire::DecodePortable(bytes, earlier);
-}
-
 }  // namespace
 
 Expected<std::unique_ptr<FleetTask>> FleetTask::Create(
@@ -96,8 +78,9 @@
 
 void FleetTask::ConnectSignals() {
   transport_->signal_reply().connect(
-      [this](std::uint64_t id, const storesync::Reply& reply) {
-        HandleReply(id, reply);
+      [this](std::uint64_t id, const storesync::Reply& reply,
+             std::optional<storesync::StoreEra> era) {
+        HandleReply(id, reply, era);
       });
   peer_socket_->signal_received().connect(
       [this](const net::Datagram& it) { HandleDatagram(it); });
@@ -115,6 +98,7 @@
   SendDueRegistration();
   if (storesync::RemoveLapsedKeys(servers_view_, now)) ApplyServers();
   if (storesync::RemoveLapsedKeys(members_view_, now)) ApplyMembers();
+  EndDoubtIfDue(now);
   SendUpdateIfDue(now);
   TellVersionIfDue(now);
   AskForLimitsIfDue(now);
@@ -183,7 +167,7 @@
 
 void FleetTask::ApplyServers() {
   const net::StepTimer step(loop_, "read the list of servers");
-  lists_.servers.clear();
+  const auto known = std::exchange(lists_.servers, {});
   for (const auto& [key, item] : servers_view_.items) {
     auto entry = options_.schema.parse_server(key, item.value);
     if (entry) {
@@ -194,22 +178,24 @@
     LogUnreadable(unreadable_servers_, key, item.changed_at,
                   entry.error().message);
   }
+  gateway::KeepServerEnds(ended_, known, lists_.servers, net::MonotonicNow());
   has_lists_ = has_lists_ || members_view_.is_complete;
   Publish();
 }
 
 void FleetTask::ApplyMembers() {
-  lists_.members.clear();
+  const auto known = std::exchange(lists_.members, {});
   for (const auto& [key, item] : members_view_.items) {
-    gateway::Member member;
-    if (!DecodeMember(item.value, member)) {
+    auto member = DecodeMember(item.value);
+    if (!member) {
       LogUnreadable(unreadable_members_, key, item.changed_at,
                     "the value is not a registration of an instance");
       continue;
     }
     unreadable_members_.erase(key);
-    lists_.members.insert_or_assign(member.name, std::move(member));
+    lists_.members.insert_or_assign(member->name, std::move(*member));
   }
+  gateway::KeepMemberEnds(ended_, known, lists_.members, net::MonotonicNow());
   has_lists_ = has_lists_ || servers_view_.is_complete;
   Publish();
 }
@@ -229,7 +215,9 @@
   for (const auto& [name, entry] : lists_.servers) entries.push_back(entry);
   const bool is_same = std::ranges::equal(entries, published_servers_,
                                           &gateway::EqualExceptWarmUp);
+  const TimePoint now = net::MonotonicNow();
   if (!is_same) {
+    gateway::RecordServerEnds(ended_, published_servers_, entries, now);
     published_servers_ = std::move(entries);
     const net::StepTimer step(loop_, "install the servers");
     servers_changed_.emit(published_servers_);
@@ -240,6 +228,7 @@
   if (!is_listed && !registration_.is_ending) members.push_back(options_.self);
   const bool is_first = has_lists_ && !std::exchange(has_told_members_, true);
   if (members == members_ && !is_first) return;
+  gateway::RecordMemberEnds(ended_, members_, members, now);
   members_ = std::move(members);
   first_watchers_.clear();
   Log(LogEvent::kMembersChanged,
--- a/src/plugins/fleet/fleet_task.h
+++ b/src/plugins/fleet/fleet_task.h
@@ -3,11 +3,13 @@
 
 #include <sigc++/sigc++.h>
 
+#include <array>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "libs/base/log_event.h"
@@ -15,6 +17,7 @@
 #include "libs/gateway/configuration.h"
 #include "libs/gateway/configuration_freshness.h"
 #include "libs/gateway/configuration_lag.h"
+#include "libs/gateway/ended_entries.h"
 #include "libs/gateway/list_updates.h"
 #include "libs/gateway/messages.h"
 #include "libs/gateway/organisations.h"
@@ -232,8 +235,21 @@
   void SendDue(storesync::StoreView& view, CallOwner owner);
   void SendDueRegistration();
   void Send(CallOwner owner, const storesync::Call& call);
-  void HandleReply(std::uint64_t id, const storesync::Reply& reply);
+  void HandleReply(std::uint64_t id, const storesync::Reply& reply,
+                   std::optional<storesync::StoreEra> era);
+  void HandleCurrentReply(const OpenCall& call, const storesync::Reply& reply);
   void HandleStoreRecovery();
+  /// The views with the owners of their calls.
+  std::array<std::pair<CallOwner, storesync::StoreView*>, 3> Views();
+
+  // A store that was restored from an older copy.
+
+  /// Gives up what depends on revisions and leases of the earlier era, and
+  /// reads the store again.
+  void HandleRestoredStore();
+  /// Believes entries that were written after the store was restored.
+  void RecordWrittenEntries(CallOwner owner, const storesync::Reply& reply);
+  void EndDoubtIfDue(TimePoint now);
   void TrackStoreAvailability(const storesync::Reply& reply);
   void ApplyConfiguration(gateway::Configuration configuration);
   void ApplyServers();
@@ -307,6 +323,8 @@
   storesync::StoreView members_view_;
   storesync::Registration registration_;
   gateway::SharedLists lists_;
+  gateway::EndedEntries ended_;
+  std::optional<storesync::StoreEra> store_era_;
   bool has_lists_ = false;
   gateway::WatchDuty watch_duty_;
   gateway::UpdateLog update_log_;
--- a/src/plugins/fleet/kv_transport.h
+++ b/src/plugins/fleet/kv_transport.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 #include "libs/storesync/kv_messages.h"
 
@@ -22,12 +23,18 @@
   /// Returns how many bytes of the reply to an open call have arrived.
   virtual std::size_t ReceivedBytes(std::uint64_t id) const = 0;
 
-  sigc::signal<void(std::uint64_t, const storesync::Reply&)>& signal_reply() {
+  /// The last argument is the store's era when it replied; none if there was no
+  /// reply or the store names none.
+  sigc::signal<void(std::uint64_t, const storesync::Reply&,
+                    std::optional<storesync::StoreEra>)>&
+  signal_reply() {
     return reply_;
   }
 
  private:
-  sigc::signal<void(std::uint64_t, const storesync::Reply&)> reply_;
+  sigc::signal<void(std::uint64_t, const storesync::Reply&,
+                    std::optional<storesync::StoreEra>)>
+      reply_;
 };
 
 }  // namespace ibisladder::fleet
--- a/tests/auto/fleet/freshness_test.cc
+++ b/tests/auto/fleet/freshness_test.cc
@@ -50,7 +50,9 @@
     if (!reply) return;
     timers_[id] = std::make_unique<net::Timer>(
         loop_, net::Timer::Kind::kOnce, Millis(1),
-        [this, id, it = std::move(*reply)] { signal_reply().emit(id, it); });
+        [this, id, it = std::move(*reply)] {
+          signal_reply().emit(id, it, std::nullopt);
+        });
   }
   void Cancel(std::uint64_t id) override { timers_.erase(id); }
   std::size_t ReceivedBytes(std::uint64_t /*id*/) const override { return 0; }
--- a/tests/auto/fleet/scripted_fleet.h
+++ b/tests/auto/fleet/scripted_fleet.h
@@ -23,6 +23,7 @@
   Duration delay = Millis(1);
   /// Bytes of it arrive all the time until it is complete.
   bool arrives_slowly = false;
+  std::optional<storesync::StoreEra> era;
 };
 
 /// Replies to each call with the script's result; without one the call stays
@@ -41,7 +42,9 @@
     if (it->arrives_slowly) arriving_.emplace(id, net::MonotonicNow());
     timers_[id] = std::make_unique<net::Timer>(
         loop_, net::Timer::Kind::kOnce, it->delay,
-        [this, id, reply = it->reply] { signal_reply().emit(id, reply); });
+        [this, id, reply = it->reply, era = it->era] {
+          signal_reply().emit(id, reply, era);
+        });
   }
   void Cancel(std::uint64_t id) override { timers_.erase(id); }
   std::size_t ReceivedBytes(std::uint64_t id) const override {
--- a/tests/auto/fleet/sent_messages.cc
+++ b/tests/auto/fleet/sent_messages.cc
@@ -44,7 +44,7 @@
     }
     timers_[id] = std::make_unique<net::Timer>(
         loop_, net::Timer::Kind::kOnce, delay,
-        [this, id, reply] { signal_reply().emit(id, reply); });
+        [this, id, reply] { signal_reply().emit(id, reply, std::nullopt); });
   }
   void Cancel(std::uint64_t id) override { timers_.erase(id); }
   std::size_t ReceivedBytes(std::uint64_t /*id*/) const override { return 0; }
--- a/tests/auto/platform/store_client_test.cc
+++ b/tests/auto/platform/store_client_test.cc
@@ -21,12 +21,16 @@
   StoreStandin store{*loop, endpoint};
   StoreClient client{*loop, endpoint};
   std::uint64_t last_call = 0;
+  /// Of the last reply.
+  std::optional<storesync::StoreEra> era;
 
   storesync::Reply SendAndWait(const storesync::Call& call) {
     std::optional<storesync::Reply> reply;
     const sigc::connection connection = client.signal_reply().connect(
-        [&](std::uint64_t, const storesync::Reply& it) {
+        [&](std::uint64_t, const storesync::Reply& it,
+            std::optional<storesync::StoreEra> store_era) {
           reply = it;
+          era = store_era;
           loop->Stop();
         });
     client.Send(++last_call, call);
@@ -53,6 +57,15 @@
       CPPUNIT_ASSERT_EQUAL(std::string("\0x", 2), page.items.at(0).value);
       CPPUNIT_ASSERT(!page.has_more);
     });
+    Section("the era of the store, which changes with a restore", [&] {
+      CPPUNIT_ASSERT(it.era == storesync::StoreEra(1));
+      it.store.MakeCopy();
+      it.store.Restore();
+      it.SendAndWait(storesync::RangeCall{"p/", ""});
+      CPPUNIT_ASSERT(it.era == storesync::StoreEra(2));
+      CPPUNIT_ASSERT(!Internal::EraOf({1, 200, {}, ""}));
+      CPPUNIT_ASSERT(!Internal::EraOf({1, 200, {{"Store-Era", "x"}}, ""}));
+    });
     Section("a key under a lease", [&] {
       const auto granted = std::get<storesync::LeaseReply>(
           it.SendAndWait(storesync::GrantLeaseCall{Seconds(3)}));
--- a/tests/auto/platform/store_standin.h
+++ b/tests/auto/platform/store_standin.h
@@ -22,10 +22,18 @@
   void Put(const std::string& key, const std::string& value,
            std::uint64_t lease = 0);
   void Remove(const std::string& key);
+  std::uint64_t GrantLease();
   /// Also removes the lease's keys.
   void EndLease(std::uint64_t lease);
+  /// Keeps a copy of the contents for Restore.
+  void MakeCopy();
+  /// Goes back to the copy and begins a new era. Open watches get no reply any
+  /// more.
+  void Restore();
   void set_mode(Mode mode) { mode_ = mode; }
-  bool Has(const std::string& key) const { return items_.contains(key); }
+  bool Has(const std::string& key) const {
+    return contents_.items.contains(key);
+  }
   std::size_t calls() const { return calls_; }
 
  private:
@@ -46,6 +54,14 @@
     TimePoint until;
   };
 
+  struct Contents {
+    std::uint64_t revision = 10;
+    std::uint64_t last_lease = 100;
+    std::map<std::string, Item> items;
+    std::map<std::uint64_t, bool> leases;
+    std::vector<Event> events;
+  };
+
   void Handle(const net::HttpRequest& request);
   void HandleRange(const net::HttpRequest& request);
   void HandleTransaction(const net::HttpRequest& request);
@@ -57,11 +73,9 @@
   net::Timer tick_;
   Mode mode_ = Mode::kServing;
   std::size_t calls_ = 0;
-  std::uint64_t revision_ = 10;
-  std::uint64_t last_lease_ = 100;
-  std::map<std::string, Item> items_;
-  std::map<std::uint64_t, bool> leases_;
-  std::vector<Event> events_;
+  std::uint64_t era_ = 1;
+  Contents contents_;
+  Contents copy_;
   std::vector<Watch> watches_;
 };
 
--- a/tests/auto/storesync/store_view_test.cc
+++ b/tests/auto/storesync/store_view_test.cc
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(ListsAreReadInPages);
   CPPUNIT_TEST(ChangesAreApplied);
   CPPUNIT_TEST(LostHistoryIsReplacedByAList);
+  CPPUNIT_TEST(ForgottenRevisionsDoNotHideALowerOne);
   CPPUNIT_TEST(LapsedKeysAreKeptForAGraceTime);
   CPPUNIT_TEST(CallsWaitForABackoffOnlyAfterFailures);
   CPPUNIT_TEST_SUITE_END();
@@ -92,6 +93,34 @@
     });
   }
 
+  /// Guards against a copy that ignores all changes after the store has begun
+  /// to count its revisions anew.
+  void ForgottenRevisionsDoNotHideALowerOne() {
+    Reader reader = MakeReader();
+    reader.Reply(WatchReply{{{"p/a", "v", Revision(90)}}, Revision(90)});
+    ForgetRevisions(reader.view);
+    Relist(reader.view, reader.now);
+    Section("the list replaces items with higher revisions", [&] {
+      CPPUNIT_ASSERT(reader.Reply(
+          Page({{"p/a", "old", Revision(3)}, MakeItem("p/b", 2)}, 7)));
+      CPPUNIT_ASSERT_EQUAL(std::string("old"),
+                           reader.view.items.at("p/a").value);
+    });
+    Section("changes are watched from its revision", [&] {
+      reader.Reply(WatchReply{{{"p/a", "new", Revision(8)}}, Revision(8)});
+      CPPUNIT_ASSERT_EQUAL(std::string("new"),
+                           reader.view.items.at("p/a").value);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, reader.view.revision.value());
+    });
+    Section("a list that was being read is started again", [&] {
+      Relist(reader.view, reader.now);
+      reader.Reply(Page({MakeItem("p/x", 8)}, 8, true));
+      ForgetRevisions(reader.view);
+      reader.Reply(Page({MakeItem("p/b", 2)}, 4));
+      CPPUNIT_ASSERT(!reader.view.items.contains("p/x"));
+    });
+  }
+
   void LapsedKeysAreKeptForAGraceTime() {
     Reader reader = MakeReader();
     for (int i = 0; i < 4; ++i) {
