Pass no status on that promises more than the server states

Cause: the instance's decisions rest on the server's statement X-Not-Executed, but it passed on the status that the server had chosen, and to callers 408, 421, 429 and 503 are a promise. By reading, signed 408 and 429 counted as good answers.

Change: such an answer without the statement is a failure of the server: an idempotent request is tried elsewhere, and otherwise the caller gets a 502 of the instance's own (3003) without a signature. Finish, where all calls end, gives no promise for a request that may have run. The same holds for answers through other instances, results that this build does not know, and heads of long answers. A signed 421 without the statement does not count as not run.

--- a/src/libs/gateway/answers.cc
+++ b/src/libs/gateway/answers.cc
@@ -23,7 +23,9 @@
   const bool is_success = answer.status / kStatusClass == kSuccessClass;
   if (is_success && !answer.is_signed) return AttemptEnd::kCorrupt;
   if (answer.status == kGatewayTimeout) return AttemptEnd::kTimeout;
-  if (answer.status >= kFirstError) return AttemptEnd::kError;
+  const bool is_error =
+      answer.status >= kFirstError || PromisesNotRun(answer.status);
+  if (is_error) return AttemptEnd::kError;
   return answer.is_signed ? AttemptEnd::kOk : AttemptEnd::kCorrupt;
 }
 
@@ -102,10 +104,11 @@
     if (call.server_failure) {
       Finish(context, id, std::move(*call.server_failure));
     } else {
+      const bool has_answered =
+          end == AttemptEnd::kCorrupt || end == AttemptEnd::kError;
       AnswerWithCode(context, id,
-                     end == AttemptEnd::kCorrupt
-                         ? ResultCode::kAnswerCorrupt
-                         : ResultCode::kServerConnectionLost,
+                     has_answered ? ResultCode::kAnswerCorrupt
+                                  : ResultCode::kServerConnectionLost,
                      Duration::zero());
     }
     return;
@@ -252,9 +255,11 @@
     return;
   }
   if (end != AttemptEnd::kShed) call.may_have_run = true;
-  const bool is_error_answer =
-      end == AttemptEnd::kError || end == AttemptEnd::kTimeout;
-  if (is_error_answer) call.server_failure = ToCallerAnswer(std::move(answer));
+  // A status that promises more than the server states is not passed on.
+  const bool is_passed_on =
+      (end == AttemptEnd::kError || end == AttemptEnd::kTimeout) &&
+      !PromisesNotRun(answer.status);
+  if (is_passed_on) call.server_failure = ToCallerAnswer(std::move(answer));
   RetryOrFinish(context, call_id, end, server);
 }
 
--- a/src/libs/gateway/call_ends.cc
+++ b/src/libs/gateway/call_ends.cc
@@ -14,6 +14,8 @@
 
 constexpr int kStatusUnauthorised = 401;
 constexpr int kStatusNotFound = 404;
+constexpr int kStatusRequestTimeout = 408;
+constexpr int kStatusMisdirected = 421;
 constexpr int kStatusTooManyRequests = 429;
 constexpr int kStatusBadGateway = 502;
 constexpr int kStatusUnavailable = 503;
@@ -33,12 +35,10 @@
       return kStatusNotFound;
     case ResultCode::kDeadlineAfterDispatch:
       return kStatusTimeout;
-    case ResultCode::kServerConnectionLost:
-    case ResultCode::kAnswerCorrupt:
-    case ResultCode::kAnswerTruncated:
-      return kStatusBadGateway;
     default:
-      return kStatusUnavailable;
+      // Instances of another build may have codes that are not known here.
+      return OutcomeOf(code) == Outcome::kNotRun ? kStatusUnavailable
+                                                 : kStatusBadGateway;
   }
 }
 
@@ -106,6 +106,11 @@
 
 }  // namespace
 
+bool PromisesNotRun(int status) {
+  return status == kStatusRequestTimeout || status == kStatusMisdirected ||
+         status == kStatusTooManyRequests || status == kStatusUnavailable;
+}
+
 void HandleCallerLeft(Context& context, CallId id) {
   Forwarder& forwarder = context.forwarder;
   const auto it = forwarder.calls.find(id);
@@ -203,6 +208,12 @@
   Forwarder& forwarder = context.forwarder;
   const auto it = forwarder.calls.find(id);
   const bool has_left = it->second.caller_left;
+  // Holds for all reasons for which an answer is given.
+  if (it->second.may_have_run && PromisesNotRun(answer.status)) {
+    answer = {};
+    answer.code = ResultCode::kServerConnectionLost;
+    answer.status = kStatusBadGateway;
+  }
   if (IsRefusal(answer)) ReleaseCredit(context, id);
   RecordAnswer(context, it->second, answer);
   forwarder.calls.erase(it);
--- a/src/libs/gateway/forwarder_state.h
+++ b/src/libs/gateway/forwarder_state.h
@@ -352,6 +352,9 @@
 
 // call_ends.cc
 
+/// Whether an answer with this status tells the caller that its request has not
+/// run and never will.
+bool PromisesNotRun(int status);
 void HandleCallerLeft(Context& context, CallId id);
 /// Answers a call whose deadline has passed. A call that awaits startup is
 /// routed instead.
--- a/src/libs/gateway/relays.cc
+++ b/src/libs/gateway/relays.cc
@@ -163,7 +163,8 @@
   const ResultCode code = *answer.relay_result;
   call.last_failure = "result " + std::to_string(static_cast<int>(code)) +
                       " of instance " + peer;
-  if (answer.status == kStatusUnavailable) {
+  const bool has_not_run = OutcomeOf(code) == Outcome::kNotRun;
+  if (answer.status == kStatusUnavailable && has_not_run) {
     ++forwarder.counters.relays["refused"];
     PeerState& state = forwarder.peer_states[peer];
     state.unusable_until = context.now + kRefusedPause;
@@ -173,7 +174,7 @@
     return;
   }
   ++forwarder.counters.relays["failed"];
-  call.may_have_run = true;
+  call.may_have_run = call.may_have_run || !has_not_run;
   AnswerWithCode(context, id, code, Duration::zero());
 }
 
@@ -304,9 +305,10 @@
   }
   // The other instance passes on only what a server signed, and failures.
   const bool is_valid =
-      !answer.not_run && !answer.is_encoded &&
+      !answer.not_run && !answer.is_encoded && !PromisesNotRun(answer.status) &&
       (answer.is_signed || answer.status >= kFirstServerError);
   if (!is_valid) {
+    it->second.may_have_run = true;
     AnswerWithCode(context, attempt.call, ResultCode::kAnswerCorrupt,
                    Duration::zero());
     return;
--- a/tests/auto/gateway/forwarder_test.cc
+++ b/tests/auto/gateway/forwarder_test.cc
@@ -3,6 +3,8 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <array>
 #include <map>
 
 #include "tests/auto/gateway/forwarder_fixture.h"
@@ -16,6 +18,8 @@
 
 constexpr unsigned kSeed = 81;
 constexpr int kCases = 200;
+/// Statuses that tell callers that their request has not run and never will.
+constexpr std::array kPromises = {408, 421, 429, 503};
 
 class ForwarderTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ForwarderTest);
@@ -275,8 +279,8 @@
   }
 
   /// Random ends of attempts. Each call gets one answer, an at-most-once
-  /// request is executed at most once, and a request refused with 503 was not
-  /// executed.
+  /// request is executed at most once, and a request whose answer has a status
+  /// that promises so was not executed.
   void AnswersMatchExecutions() {
     CheckProperty(
         "any ends of attempts", kSeed, kCases,
@@ -290,7 +294,7 @@
               const SendAttempt attempt = fixture.sent[handled++];
               const CallId call = attempt.request->call;
               const std::uint64_t end =
-                  (it / 2U + attempt.attempt.value()) % 7U;
+                  (it / 2U + attempt.attempt.value()) % 8U;
               if (end >= 2) ++possible_executions[call];
               if (end == 0) Decline(fixture, attempt);
               if (end == 1) {
@@ -302,6 +306,9 @@
               }
               if (end == 4) Fail(fixture, attempt, AttemptFailure::kTruncated);
               if (end == 5) Answer(fixture, attempt, 200);
+              if (end == 6) {
+                Answer(fixture, attempt, kPromises.at(it % kPromises.size()));
+              }
             }
             Advance(fixture, Millis(100));
           }
@@ -309,7 +316,7 @@
           RC_ASSERT(fixture.answers.size() == fixture.last_call);
           for (const auto& [call, answer] : fixture.answers) {
             const bool promises_not_run =
-                answer.status == 503 && answer.code != ResultCode::kDone;
+                std::ranges::find(kPromises, answer.status) != kPromises.end();
             if (promises_not_run) RC_ASSERT(possible_executions[call] == 0);
           }
           for (const auto& sent : fixture.sent) {
--- a/tests/auto/platform/message_codec_test.cc
+++ b/tests/auto/platform/message_codec_test.cc
@@ -161,6 +161,15 @@
       const auto answer = codec.decode_answer({421, {}, ""});
       CPPUNIT_ASSERT(answer.wrong_server && answer.not_run);
     });
+    Section("a signed 421, which the server may have given after it ran", [&] {
+      const net::Headers signed_fields = {{"X-Response-Signature", "s"}};
+      const auto answer = codec.decode_answer({421, signed_fields, ""});
+      CPPUNIT_ASSERT(!answer.wrong_server && !answer.not_run);
+      net::Headers stated = signed_fields;
+      stated.emplace_back("X-Not-Executed", "1");
+      const auto rejected = codec.decode_answer({421, stated, ""});
+      CPPUNIT_ASSERT(rejected.wrong_server && rejected.not_run);
+    });
     Section("an answer matches the request with its ID", [&] {
       CPPUNIT_ASSERT(
           codec.matches_request({200, {{"X-Request-Id", "a"}}, ""}, "a") ==
