Show that servers and a store without end stay within the memory

The tests that show it are new; answers of other instances take the same connections.

Health checks were bounded by 4 MB each and are by 64 KB now. The entry sends none with its present settings, so that no test has failed for it.

--- a/src/plugins/gateway/gateway_actions.cc
+++ b/src/plugins/gateway/gateway_actions.cc
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr Duration kProbeTimeout = Seconds(1);
+constexpr std::size_t kMaxProbeBytes = 64U << 10U;
 
 }  // namespace
 
@@ -72,6 +73,7 @@
   call.endpoint = action.endpoint;
   call.target = action.path;
   call.timeout = kProbeTimeout;
+  call.max_answer_bytes = kMaxProbeBytes;
   probes_.Send(call);
 }
 
--- a/tests/auto/gateway/endless_answers_test.cc
+++ b/tests/auto/gateway/endless_answers_test.cc
@@ -28,6 +28,7 @@
 class EndlessAnswersTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EndlessAnswersTest);
   CPPUNIT_TEST(AnswersWithoutEndAreCutOff);
+  CPPUNIT_TEST(BytesBehindAnAnswerEndTheConnection);
   CPPUNIT_TEST(ManyLargeAnswersStayWithinTheMemory);
   CPPUNIT_TEST_SUITE_END();
 
@@ -63,6 +64,33 @@
     }
   }
 
+  /// Guards against the same behind a whole answer, which is passed on.
+  void BytesBehindAnAnswerEndTheConnection() {
+    std::signal(SIGPIPE, SIG_IGN);
+    int port = 20;
+    for (const auto& answer :
+         ibisladder::testing::EndlessBytesBehindAnswers()) {
+      Section(answer.title, [&] {
+        auto loop = std::move(*net::EventLoop::Create());
+        const Endpoint endpoint{"127.0.0.1", kPorts.At(++port)};
+        const EndlessServer server(*loop, endpoint, answer);
+        ServerConnections connections(*loop, {}, &IsForAnyRequest);
+        std::string body;
+        connections.signal_answer().connect(
+            [&](AttemptId, http1::Response& it) { body += it.body; });
+        connections.Send({AttemptId(1), BackendServerId(1), endpoint, kRequest,
+                          false, "id"});
+        RunUntil(*loop, [&] { return server.closed() > 0; });
+        CPPUNIT_ASSERT_EQUAL(std::string("ab"), body);
+        CPPUNIT_ASSERT_EQUAL(1, server.closed());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, connections.open_connections());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, connections.received_bytes());
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(server.sent()),
+                               server.sent() < kBufferedBytes);
+      });
+    }
+  }
+
   /// Guards against many answers that are within the limit of one, but together
   /// exceed the memory of the instance.
   void ManyLargeAnswersStayWithinTheMemory() {
--- a/tests/auto/net/endless_answers_test.cc
+++ b/tests/auto/net/endless_answers_test.cc
@@ -22,6 +22,7 @@
 class EndlessAnswersTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EndlessAnswersTest);
   CPPUNIT_TEST(AnswersWithoutEndAreCutOff);
+  CPPUNIT_TEST(BytesBehindAnAnswerEndTheConnection);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -63,6 +64,37 @@
       });
     }
   }
+
+  /// Guards against the same behind a whole answer, on a connection that is
+  /// kept for further calls.
+  void BytesBehindAnAnswerEndTheConnection() {
+    std::signal(SIGPIPE, SIG_IGN);
+    int port = 40;
+    for (const auto& answer : testing::EndlessBytesBehindAnswers()) {
+      Section(answer.title, [&] {
+        auto loop = std::move(*EventLoop::Create());
+        const Endpoint endpoint{"127.0.0.1", kPorts.At(++port)};
+        const testing::EndlessServer server(*loop, endpoint, answer);
+        HttpClient client(*loop);
+        HttpCall call;
+        call.id = 1;
+        call.endpoint = endpoint;
+        call.timeout = Millis(700);
+        call.max_answer_bytes = kMaxAnswerBytes;
+        client.Send(call);
+        const Timer poll(*loop, Timer::Kind::kPeriodic, Millis(5), [&] {
+          if (server.closed() > 0) loop->Stop();
+        });
+        const Timer guard(*loop, Timer::Kind::kOnce, Seconds(5),
+                          [&] { loop->Stop(); });
+        loop->Run();
+        CPPUNIT_ASSERT_EQUAL(1, server.closed());
+        CPPUNIT_ASSERT_MESSAGE(
+            std::to_string(server.sent()),
+            server.sent() < kMaxAnswerBytes + kBufferedBytes);
+      });
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EndlessAnswersTest);
--- a/tests/auto/support/endless_server.h
+++ b/tests/auto/support/endless_server.h
@@ -120,6 +120,21 @@
   };
 }
 
+/// Whole answers that are followed by bytes without end.
+inline std::vector<EndlessAnswer> EndlessBytesBehindAnswers() {
+  const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
+  return {
+      {"bytes behind an answer", whole, "x"},
+      {"zero bytes behind an answer", whole, std::string(1, '\0')},
+      {"empty lines behind an answer", whole, "\r\n"},
+      {"answers behind an answer", whole, whole},
+      {"an endless answer behind an answer", whole + "HTTP/1.1 200 OK\r\n\r\n",
+       "x"},
+      {"interim answers behind an answer", whole,
+       "HTTP/1.1 100 Continue\r\n\r\n"},
+  };
+}
+
 }  // namespace ibisladder::testing
 
 #endif  // TESTS_AUTO_SUPPORT_ENDLESS_SERVER_H_
--- a/tests/process/entry_fleet.cc
+++ b/tests/process/entry_fleet.cc
@@ -87,6 +87,10 @@
   }
 }
 
+void EntryFleet::ListServer(const std::string& name, const Endpoint& endpoint) {
+  store_.Put(platform::kServersPrefix + name, ServerValue(endpoint, kSlots));
+}
+
 void EntryFleet::StartInstance(int instance) {
   const std::string name = InstanceName(instance);
   const std::string settings = File(name + ".toml");
--- a/tests/process/entry_fleet.h
+++ b/tests/process/entry_fleet.h
@@ -73,6 +73,13 @@
   /// Kills an instance and starts it again. `instance` counts from 1.
   void Restart(int instance);
 
+  /// Adds a server of the test's own to the store's list.
+  void ListServer(const std::string& name, const Endpoint& endpoint);
+  /// Returns an endpoint that nothing else uses in a fleet of up to four
+  /// instances. `i` is from 0 to 48.
+  Endpoint UnusedEndpoint(int i) const { return At(kUnusedOffset + i); }
+  net::EventLoop& loop() { return *loop_; }
+
   std::vector<FleetCall> CallsSince(TimePoint since) const;
   /// Returns the largest number of requests that the server got within
   /// `window`, in any such time between `from` and `to`.
@@ -93,6 +100,8 @@
   Endpoint MetricsEndpoint(int instance) const { return PortOf(instance, 4); }
 
  private:
+  static constexpr int kUnusedOffset = 50;
+
   Endpoint At(int offset) const;
   Endpoint PortOf(int instance, int port) const;
   std::string File(const std::string& name) const;
