Read a restored store that lacks a known version after pauses only

Cause: while a restored store is doubted, it does not disprove an announced version that it lacks, and an instance that is behind listed the configuration again at once, as often as replies came: 752 times in 4 s with a store that replies in a millisecond (RestoredStoreReadsTest, on the code before). All instances would have done so until the version is written again.

Change: in that time the list is repeated only at the intervals for announced versions; the watch returns the version when it is written. The test allows 12 lists.

--- a/src/plugins/fleet/fleet_configuration.cc
+++ b/src/plugins/fleet/fleet_configuration.cc
@@ -99,9 +99,10 @@
   const TimePoint now = net::MonotonicNow();
   const ConfigVersion announced = lag_.announced;
   // A store that was restored from an older copy may lack a version that is
-  // about to be written again.
-  const bool may_disprove =
-      read.list_sent_at && !gateway::IsDoubted(ended_, now);
+  // about to be written again. That one disproves nothing, and is read again
+  // after a pause only.
+  const bool is_doubted = gateway::IsDoubted(ended_, now);
+  const bool may_disprove = read.list_sent_at && !is_doubted;
   if (may_disprove && gateway::RecordRead(lag_, *read.list_sent_at, now)) {
     TellKeyStanding();
     Log(LogEvent::kConfigurationFetchFailed,
@@ -109,7 +110,8 @@
          {"reason", "the store does not contain the announced version"}});
   }
   UpdateViewPauses();
-  if (!configuration_view_.is_listing) ListConfigurationIfBehind(now);
+  if (!configuration_view_.is_listing && !is_doubted)
+    ListConfigurationIfBehind(now);
 }
 
 void FleetTask::LogConfigurationRead(const ConfigurationRead& read,
