--- a/src/libs/gateway/ended_entries.cc
+++ b/src/libs/gateway/ended_entries.cc
@@ -12,14 +12,6 @@
 /// its state again.
 constexpr Duration kDoubtTime = Seconds(10);
 
-template <typename Entry>
-std::unordered_map<std::string_view, const Entry*> IndexByName(
-    std::span<const Entry> entries) {
-  std::unordered_map<std::string_view, const Entry*> index;
-  for (const Entry& it : entries) index.emplace(it.name, &it);
-  return index;
-}
-
 template <typename Ended>
 void EraseOld(std::map<std::string, Ended>& ended, TimePoint now) {
   std::erase_if(ended, [now](const auto& it) {
@@ -62,17 +54,17 @@
 void RecordServerEnds(EndedEntries& ended, std::span<const ServerEntry> before,
                       std::span<const ServerEntry> after, TimePoint now) {
   EraseOld(ended.servers, now);
-  const auto now_listed = IndexByName(after);
+  auto found = after.begin();
   for (const ServerEntry& it : before) {
-    const auto found = now_listed.find(it.name);
-    const bool is_removed =
-        found == now_listed.end() || found->second->started_ms != it.started_ms;
-    const bool is_draining =
-        it.draining || (!is_removed && found->second->draining);
+    while (found != after.end() && found->name < it.name) ++found;
+    const bool is_removed = found == after.end() || found->name != it.name ||
+                            found->started_ms != it.started_ms;
+    const bool is_draining = it.draining || (!is_removed && found->draining);
     if (is_removed || (is_draining && !it.draining)) {
       ended.servers[it.name] = {it.started_ms, is_draining, now};
     }
   }
+  if (ended.servers.empty()) return;
   for (const ServerEntry& it : after) {
     if (!it.draining && Find(ended, it) != nullptr)
       ended.servers.erase(it.name);
@@ -82,11 +74,12 @@
 void RecordMemberEnds(EndedEntries& ended, std::span<const Member> before,
                       std::span<const Member> after, TimePoint now) {
   EraseOld(ended.members, now);
-  const auto now_listed = IndexByName(after);
+  std::unordered_map<std::string_view, Incarnation> now_listed;
+  for (const Member& it : after) now_listed.emplace(it.name, it.incarnation);
   for (const Member& it : before) {
     const auto found = now_listed.find(it.name);
-    const bool is_removed = found == now_listed.end() ||
-                            found->second->incarnation != it.incarnation;
+    const bool is_removed =
+        found == now_listed.end() || found->second != it.incarnation;
     if (is_removed) ended.members[it.name] = {it.incarnation, now};
   }
   for (const Member& it : after) {
--- a/src/libs/gateway/ended_entries.h
+++ b/src/libs/gateway/ended_entries.h
@@ -37,7 +37,8 @@
   std::optional<TimePoint> doubted_until;
 };
 
-/// Record which servers and instances have left between two lists.
+/// Record which servers and instances have left between two lists. Those of
+/// servers are in the order of the names.
 void RecordServerEnds(EndedEntries& ended, std::span<const ServerEntry> before,
                       std::span<const ServerEntry> after, TimePoint now);
 void RecordMemberEnds(EndedEntries& ended, std::span<const Member> before,
--- a/src/libs/gateway/stop_plan.cc
+++ b/src/libs/gateway/stop_plan.cc
@@ -27,8 +27,8 @@
 
 bool MayBeCutOff(const PlannedStop& stop, TimePoint arrived_at,
                  TimePoint deadline, Duration usual, TimePoint now) {
-  const bool is_noticed = arrived_at - stop.began_at > kNoticeTime;
-  const TimePoint end = is_noticed ? deadline : std::min(deadline, now + usual);
+  const bool may_know = arrived_at - stop.began_at > kNoticeTime;
+  const TimePoint end = may_know ? deadline : std::min(deadline, now + usual);
   return end > stop.ends_at;
 }
 
--- a/src/plugins/gateway/gateway_actions.cc
+++ b/src/plugins/gateway/gateway_actions.cc
@@ -12,8 +12,8 @@
 }  // namespace
 
 void GatewayTask::PerformActions() {
-  // An action may have an event as its result. The actions that follow from it
-  // may revoke earlier ones, so that these are performed first.
+  // An action may cause an event. The actions that follow from that may revoke
+  // earlier ones, and so are performed after them.
   if (std::exchange(is_performing_, true)) return;
   for (auto actions = TakeActions(*forwarder_); !actions.empty();
        actions = TakeActions(*forwarder_)) {
