Keep entries that a store lacks after an outage as they are known

After an outage of the store, an instance that takes over the watch of the lists used servers again that had left before, for up to two seconds.

Cause: keys that the store lacks are kept for a grace time, from this instance's own copy, which is as old as the last time that it watched. The lists that it follows from other instances are newer.

Change: such an entry is kept as it is known from the lists, and left out if they do not have it; the same for instances.

--- a/src/plugins/fleet/fleet_task.cc
+++ b/src/plugins/fleet/fleet_task.cc
@@ -34,6 +34,15 @@
   return settings;
 }
 
+/// Copies an entry that the store lacks since an outage. What is known of it
+/// counts, and not this instance's copy of the store, which may be as old as
+/// the last time that it watched.
+template <typename Entry>
+void CopyEntry(const std::map<std::string, Entry>& known,
+               const std::string& name, std::map<std::string, Entry>& listed) {
+  if (const auto it = known.find(name); it != known.end()) listed.insert(*it);
+}
+
 }  // namespace
 
 Expected<std::unique_ptr<FleetTask>> FleetTask::Create(
@@ -171,7 +180,11 @@
   for (const auto& [key, item] : servers_view_.items) {
     auto entry = options_.schema.parse_server(key, item.value);
     if (entry) {
-      lists_.servers.insert_or_assign(entry->name, std::move(*entry));
+      if (servers_view_.missing.contains(key)) {
+        CopyEntry(known, entry->name, lists_.servers);
+      } else {
+        lists_.servers.insert_or_assign(entry->name, std::move(*entry));
+      }
       unreadable_servers_.erase(key);
       continue;
     }
@@ -193,7 +206,11 @@
       continue;
     }
     unreadable_members_.erase(key);
-    lists_.members.insert_or_assign(member->name, std::move(*member));
+    if (members_view_.missing.contains(key)) {
+      CopyEntry(known, member->name, lists_.members);
+    } else {
+      lists_.members.insert_or_assign(member->name, std::move(*member));
+    }
   }
   gateway::KeepMemberEnds(ended_, known, lists_.members, net::MonotonicNow());
   has_lists_ = has_lists_ || servers_view_.is_complete;
