--- a/tests/auto/net/endless_answers_test.cc
+++ b/tests/auto/net/endless_answers_test.cc
@@ -19,6 +19,15 @@
 /// What the kernel's buffers on both sides hold, and libevent's.
 constexpr std::size_t kBufferedBytes = 12U << 20U;
 
+HttpCall MakeCall(const Endpoint& endpoint) {
+  HttpCall call;
+  call.id = 1;
+  call.endpoint = endpoint;
+  call.timeout = Millis(700);
+  call.max_answer_bytes = kMaxAnswerBytes;
+  return call;
+}
+
 class EndlessAnswersTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EndlessAnswersTest);
   CPPUNIT_TEST(AnswersWithoutEndAreCutOff);
@@ -43,12 +52,7 @@
             [&](HttpAnswer& /*answer*/) { is_answered = true; });
         client.signal_error().connect(
             [&](const HttpError& it) { failure = it.failure; });
-        HttpCall call;
-        call.id = 1;
-        call.endpoint = endpoint;
-        call.timeout = Millis(700);
-        call.max_answer_bytes = kMaxAnswerBytes;
-        client.Send(call);
+        client.Send(MakeCall(endpoint));
         const Timer poll(*loop, Timer::Kind::kPeriodic, Millis(5), [&] {
           if (server.closed() > 0 && failure) loop->Stop();
         });
@@ -76,12 +80,7 @@
         const Endpoint endpoint{"127.0.0.1", kPorts.At(++port)};
         const testing::EndlessServer server(*loop, endpoint, answer);
         HttpClient client(*loop);
-        HttpCall call;
-        call.id = 1;
-        call.endpoint = endpoint;
-        call.timeout = Millis(700);
-        call.max_answer_bytes = kMaxAnswerBytes;
-        client.Send(call);
+        client.Send(MakeCall(endpoint));
         const Timer poll(*loop, Timer::Kind::kPeriodic, Millis(5), [&] {
           if (server.closed() > 0) loop->Stop();
         });
--- a/tests/auto/platform/restored_store_test.cc
+++ b/tests/auto/platform/restored_store_test.cc
@@ -8,11 +8,10 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 
-#include "platform/configuration_decoder.h"
-#include "platform/item_codec.h"
 #include "platform/store_client.h"
 #include "platform/wire_names.h"
 #include "plugins/fleet/fleet_task.h"
+#include "tests/auto/platform/store_entries.h"
 #include "tests/auto/platform/store_standin.h"
 #include "tests/auto/support/port_range.h"
 #include "tests/auto/support/story.h"
@@ -46,27 +45,12 @@
   return json{{"version", version}, {"resources", {route, service}}}.dump();
 }
 
-std::string ServerValue(const char* state, int sequence) {
-  return json{
-      {"addr", "127.0.0.1:9"},
-      {"info", {{"service", "s"}, {"zone", "a"}, {"max_concurrency", 4}}},
-      {"status", {{"state", state}, {"seq", sequence}}}}
-      .dump();
-}
-
-std::string ServerKey(const std::string& name) { return kServersPrefix + name; }
-
-std::unique_ptr<fleet::ConfigurationDecoder> MakeDecoder() {
-  return std::make_unique<ConfigurationDecoder>();
-}
-
 fleet::FleetTask::Options MakeOptions() {
   fleet::FleetTask::Options options;
   options.self.name = "n1";
   options.self.zone = ZoneName("a");
   options.self.peer_endpoint = {"127.0.0.1", kPorts.At(kPeerOffset)};
-  options.schema = {&MakeDecoder,      &ParseServer,   kConfigurationPrefix,
-                    kConfigurationKey, kServersPrefix, kMembersPrefix};
+  options.schema = MakeSchema();
   return options;
 }
 
--- a/tests/auto/platform/store_outage_test.cc
+++ b/tests/auto/platform/store_outage_test.cc
@@ -5,16 +5,14 @@
 
 #include <algorithm>
 #include <array>
-#include <nlohmann/json.hpp>
 #include <set>
 #include <string>
 #include <vector>
 
-#include "platform/configuration_decoder.h"
-#include "platform/item_codec.h"
 #include "platform/store_client.h"
 #include "platform/wire_names.h"
 #include "plugins/fleet/fleet_task.h"
+#include "tests/auto/platform/store_entries.h"
 #include "tests/auto/platform/store_standin.h"
 #include "tests/auto/support/port_range.h"
 #include "tests/auto/support/story.h"
@@ -23,27 +21,12 @@
 namespace {
 
 using ibisladder::testing::Section;
-using nlohmann::json;
 
 const ibisladder::testing::PortRange kPorts;
 constexpr int kStoreOffset = 1;
 constexpr int kFirstPeerOffset = 2;
 constexpr int kInstances = 2;
 
-std::string ServerValue(const char* state, int sequence) {
-  return json{
-      {"addr", "127.0.0.1:9"},
-      {"info", {{"service", "s"}, {"zone", "a"}, {"max_concurrency", 4}}},
-      {"status", {{"state", state}, {"seq", sequence}}}}
-      .dump();
-}
-
-std::string ServerKey(const std::string& name) { return kServersPrefix + name; }
-
-std::unique_ptr<fleet::ConfigurationDecoder> MakeDecoder() {
-  return std::make_unique<ConfigurationDecoder>();
-}
-
 /// The instances, and which servers each of them uses.
 class Zone {
  public:
@@ -55,8 +38,7 @@
       options.self.zone = ZoneName("a");
       options.self.peer_endpoint = {"127.0.0.1",
                                     kPorts.At(kFirstPeerOffset + i)};
-      options.schema = {&MakeDecoder,      &ParseServer,   kConfigurationPrefix,
-                        kConfigurationKey, kServersPrefix, kMembersPrefix};
+      options.schema = MakeSchema();
       tasks_.push_back(std::move(*fleet::FleetTask::Create(
           *loop_, options, std::make_unique<StoreClient>(*loop_, endpoint_))));
       tasks_.back()->signal_servers().connect(
