--- a/src/libs/gateway/forwarder.cc
+++ b/src/libs/gateway/forwarder.cc
@@ -169,8 +169,8 @@
   forwarder.keys.standing = standing;
 }
 
-void PrepareToStop(Forwarder& forwarder, TimePoint end) {
-  forwarder.stops_at = end;
+void PrepareToStop(Forwarder& forwarder, const PlannedStop& stop) {
+  forwarder.stop = stop;
 }
 
 void StopAccepting(Forwarder& forwarder) { forwarder.is_stopping = true; }
--- a/src/libs/gateway/forwarder.h
+++ b/src/libs/gateway/forwarder.h
@@ -14,6 +14,7 @@
 #include "libs/gateway/directory.h"
 #include "libs/gateway/messages.h"
 #include "libs/gateway/organisations.h"
+#include "libs/gateway/stop_plan.h"
 #include "libs/limits/quota.h"
 #include "libs/metrics/families.h"
 
@@ -124,7 +125,7 @@
 /// Refuses all further requests.
 /// Announces when the process ends. Requests that may still run then are
 /// refused from now on instead of being sent to a server.
-void PrepareToStop(Forwarder& forwarder, TimePoint end);
+void PrepareToStop(Forwarder& forwarder, const PlannedStop& stop);
 void StopAccepting(Forwarder& forwarder);
 
 void RequestArrived(Forwarder& forwarder, CallerRequest request, TimePoint now);
--- a/src/libs/gateway/forwarder_state.h
+++ b/src/libs/gateway/forwarder_state.h
@@ -193,8 +193,7 @@
   /// organisations, or see HasCompetingRoutes.
   bool has_competing_callers = false;
   bool is_stopping = false;
-  /// When the process ends, once that is known.
-  std::optional<TimePoint> stops_at;
+  std::optional<PlannedStop> stop;
   /// Until then, requests wait for the first configuration and list of servers.
   TimePoint start_deadline;
   bool has_servers = false;
@@ -343,6 +342,9 @@
 /// permit.
 void ActOnPlacement(Context& context, CallId id,
                     const routing::Placement& placement);
+/// Returns whether an attempt that is sent now may still run when the process
+/// ends, which would cut it off.
+bool MayOutlastStop(const Context& context, const Call& call);
 /// Refuses a call that waits for an attempt which may still run when the
 /// process ends. Returns whether it did.
 bool RefuseBeforeStop(Context& context, CallId id);
--- a/src/libs/gateway/placement.cc
+++ b/src/libs/gateway/placement.cc
@@ -36,18 +36,14 @@
   return request;
 }
 
-/// Returns whether an attempt that is sent now may still run when the process
-/// ends, which would cut it off.
+}  // namespace
+
 bool MayOutlastStop(const Context& context, const Call& call) {
-  const auto& end = context.forwarder.stops_at;
-  if (!end) return false;
-  const Duration needed =
-      std::min(call.deadline - context.now, call.route.target_latency);
-  return context.now + needed > *end;
+  const auto& stop = context.forwarder.stop;
+  return stop && MayBeCutOff(*stop, call.arrived_at, call.deadline,
+                             call.route.target_latency, context.now);
 }
 
-}  // namespace
-
 void GiveUp(Context& context, CallId id, const routing::Refused& refused) {
   const bool is_hopeless = refused.code == ResultCode::kRequestCrashesServers;
   if (!is_hopeless && TryRelay(context, id)) return;
--- a/src/libs/gateway/relays.cc
+++ b/src/libs/gateway/relays.cc
@@ -87,7 +87,8 @@
   const bool is_lost = service->second.path.lost_since.has_value();
   const bool has_no_path = is_lost || call.connect_failures > 0;
   const std::size_t max_peers = is_lost ? kMaxPeers : kMaxPeersWithPath;
-  return is_safe && has_no_path && call.peers.size() < max_peers &&
+  return is_safe && has_no_path && !MayOutlastStop(context, call) &&
+         call.peers.size() < max_peers &&
          call.attempts < call.route.max_attempts &&
          call.deadline - context.now > kMinRelayTime;
 }
--- a/src/libs/gateway/stop_plan.h
+++ b/src/libs/gateway/stop_plan.h
@@ -24,9 +24,22 @@
   std::size_t connections = 0;
 };
 
-/// Returns how long after the start of the shutdown the process ends at the
-/// latest.
-Duration LongestStop(Duration limit);
+/// A shutdown, from its signal to the end of the process at the latest.
+struct PlannedStop {
+  TimePoint began_at;
+  TimePoint ends_at;
+};
+
+/// `limit` is the time after which the process is killed.
+PlannedStop PlanStop(TimePoint began_at, Duration limit);
+
+/// Returns whether the end of the process may cut off a request that is sent to
+/// a server at `now`. It is answered by its deadline at the latest, and usually
+/// within `usual`. Work of callers who could not know of the stop yet is begun
+/// if it usually ends in time; that of later ones only if it surely does.
+bool MayBeCutOff(const PlannedStop& stop, TimePoint arrived_at,
+                 TimePoint deadline, Duration usual, TimePoint now);
+
 /// Returns the phase at `elapsed` after the start of the shutdown. `limit` is
 /// the time after which the process is killed. The first third is kLeaving;
 /// kEnded starts as soon as nothing is open after it, at the latest shortly
--- a/src/plugins/gateway/gateway_task.cc
+++ b/src/plugins/gateway/gateway_task.cc
@@ -275,8 +275,8 @@
   gateway::MergePaths(*forwarder_, peer, lost, net::MonotonicNow());
 }
 
-void GatewayTask::PrepareToStop(TimePoint end) {
-  gateway::PrepareToStop(*forwarder_, end);
+void GatewayTask::PrepareToStop(const PlannedStop& stop) {
+  gateway::PrepareToStop(*forwarder_, stop);
   callers_->CloseAfterAnswers();
   if (relays_) relays_->CloseAfterAnswers();
 }
--- a/src/plugins/gateway/gateway_task.h
+++ b/src/plugins/gateway/gateway_task.h
@@ -78,7 +78,7 @@
   void MergePaths(const std::string& peer, std::span<const ServiceId> lost);
   /// Continues to serve requests, but closes each connection after its answer,
   /// and refuses those that may still run when the process ends.
-  void PrepareToStop(TimePoint end);
+  void PrepareToStop(const PlannedStop& stop);
   /// Refuses new requests and closes connections without open requests.
   void StopAccepting();
 
