--- a/review/standins-2/backend.cc
+++ b/review/standins-2/backend.cc
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
@@ -14,6 +15,8 @@
 constexpr Millis kIdleTime(10000);
 /// Requests that wait for a slot, as a multiple of the slots.
 constexpr int kQueuePerSlot = 4;
+/// Time in which the peer reads what arrives before a reset.
+constexpr Millis kBreakDelay(100);
 constexpr char kHealthPath[] = "/healthz";
 constexpr char kSignature[] = "3e1b.07.5a2.600.0.c9f2a4d1";
 
@@ -180,7 +183,14 @@
   std::string bytes = Format(StatusLine(answer.status), fields, answer.body);
   if (!answer.spoilt_line.empty())
     bytes.insert(bytes.find("\r\n") + 2, answer.spoilt_line + "\r\n");
-  return socket.Send(bytes);
+  if (answer.breaks_after == 0) return socket.Send(bytes);
+  bytes.resize(std::min(bytes.size(), answer.breaks_after));
+  socket.Send(bytes);
+  Wait(socket, Clock::now() + kBreakDelay);
+  // Reset at the close.
+  const linger now{1, 0};
+  setsockopt(socket.fd(), SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+  return false;
 }
 
 }  // namespace review
--- a/review/standins-2/backend.h
+++ b/review/standins-2/backend.h
@@ -22,6 +22,8 @@
   Millis work{0};
   /// A line of the head that is no field; empty: none.
   std::string spoilt_line;
+  /// The answer breaks off after so many bytes, with a reset; 0: it doesn't.
+  std::size_t breaks_after = 0;
 };
 
 /// One request that a backend has read completely and begun to work on.
