Take a connection's end for an answer's end only if the request arrived

Callers that uploaded long bodies got a part of an answer as a whole 200: the server had answered early without a length, and reset the connection.

Cause: an event with the EOF flag counted as the regular end of the connection. After a reset, a failed write takes the socket's error, the read reports EOF, and the deferred callback gets both flags at once. A server that crashes closes regularly, too, if no input waits to be read.

Such an end now completes an answer only without an error, and if the whole request is written and acknowledged. Otherwise the answer is truncated, and is retried or refused as such.

--- a/src/libs/net/socket_address.cc
+++ b/src/libs/net/socket_address.cc
@@ -2,8 +2,10 @@
 
 #include <arpa/inet.h>
 #include <event2/util.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 #include <array>
 #include <cerrno>
@@ -34,6 +36,11 @@
   return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+bool IsOutputAcknowledged(int fd) {
+  int unacknowledged = 0;
+  return ioctl(fd, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged == 0;
+}
+
 Endpoint ToEndpoint(const sockaddr* address) {
   std::array<char, INET6_ADDRSTRLEN> buf{};
   if (address->sa_family == AF_INET) {
--- a/src/libs/net/socket_address.h
+++ b/src/libs/net/socket_address.h
@@ -30,6 +30,9 @@
 /// a stall of the process, that is known to the kernel only.
 bool HasUnreadInput(int fd);
 
+/// Whether the peer has acknowledged all bytes that were written.
+bool IsOutputAcknowledged(int fd);
+
 /// Returns an empty endpoint for families other than IPv4 and IPv6.
 Endpoint ToEndpoint(const sockaddr* address);
 
--- a/src/plugins/gateway/server_connections.cc
+++ b/src/plugins/gateway/server_connections.cc
@@ -27,6 +27,15 @@
   return UnsentBytes(connection) < connection.request_bytes;
 }
 
+/// Whether the server's kernel has the whole request. If not, the server may
+/// have closed the connection because it failed. If a failed write has taken
+/// the error of a reset, a read reports a regular end; the bytes that were not
+/// written tell that, too.
+bool HasReceivedRequest(const ServerConnection& connection) {
+  return UnsentBytes(connection) == 0 &&
+         net::IsOutputAcknowledged(bufferevent_getfd(connection.bev));
+}
+
 /// Whether the kernel has opened the connection or has failed to; a callback
 /// reports either.
 bool IsOpened(const ServerConnection& connection) {
@@ -145,7 +154,10 @@
     it.connections->HandleConnected(it);
     return;
   }
-  it.connections->HandleDisconnect(it, (what & BEV_EVENT_EOF) != 0);
+  // One call may report a failed write together with the end of the input.
+  const bool is_regular =
+      (what & BEV_EVENT_EOF) != 0 && (what & BEV_EVENT_ERROR) == 0;
+  it.connections->HandleDisconnect(it, is_regular);
 }
 
 void ServerConnections::HandleConnected(ServerConnection& connection) {
@@ -157,13 +169,14 @@
 }
 
 void ServerConnections::HandleDisconnect(ServerConnection& connection,
-                                         bool is_eof) {
+                                         bool is_regular) {
   if (!connection.attempt && !connection.is_spare) {
     Close(connection.id);
     return;
   }
   const std::uint64_t id = connection.id;
-  if (is_eof && connection.parser.in_message()) {
+  const bool may_be_whole = is_regular && HasReceivedRequest(connection);
+  if (may_be_whole && connection.parser.in_message()) {
     std::vector<http1::Response> responses;
     connection.parser.FeedEnd(responses);
     if (!responses.empty()) HandleAnswer(connection, responses, false);
--- a/src/plugins/gateway/server_connections.h
+++ b/src/plugins/gateway/server_connections.h
@@ -145,7 +145,9 @@
   void StreamAnswer(Internal::ServerConnection& connection);
   void OfferStream(Internal::ServerConnection& connection);
   Internal::ServerConnection* FindByAttempt(AttemptId attempt);
-  void HandleDisconnect(Internal::ServerConnection& connection, bool is_eof);
+  /// `is_regular`: the server closed the connection, and no error occurred.
+  void HandleDisconnect(Internal::ServerConnection& connection,
+                        bool is_regular);
   void Fail(Internal::ServerConnection& connection, AttemptFailure failure,
             bool is_connect_timeout = false);
   void Close(std::uint64_t id);
