Reject responses whose status is not from 100 to 599

Callers of small answers with status 000 waited for their deadline (504); callers of answers over 256 KiB got that status with the server's body.

Cause: http-parser accepts 000 to 999 with one to three digits. All below 200, 101 included, counted as interim answers and were dropped; large ones were passed on before that. http-parser also reads a body behind an interim answer that states a length. From 600 on, statuses were passed on as failures.

A response is now malformed when its status line is read, unless the status is from 100 to 599 and not 101, which no request asks for. Interim answers have no body.

EntryBrokenAnswersTest::AnswersWithoutAValidStatusAreNotPassedOn and MessageParserTest::ResponsesHaveAValidStatus fail on the code before.

--- a/src/libs/http1/message_parser.cc
+++ b/src/libs/http1/message_parser.cc
@@ -42,7 +42,10 @@
 
 namespace {
 
-constexpr int kFirstFinalStatus = 200;
+constexpr unsigned kFirstStatus = 100;
+constexpr unsigned kSwitchingProtocols = 101;
+constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastStatus = 599;
 constexpr int kStop = 1;
 /// Return value that tells http-parser that no body follows.
 constexpr int kSkipBody = 1;
@@ -60,6 +63,16 @@
   return kStop;
 }
 
+/// Returns whether a response may have this status (RFC 9110, 15). No request
+/// asks for another protocol.
+bool IsStatus(unsigned status) {
+  return status >= kFirstStatus && status <= kLastStatus &&
+         status != kSwitchingProtocols;
+}
+
+/// Returns whether another response follows this one, which has no body.
+bool IsInterim(unsigned status) { return status < kFirstFinalStatus; }
+
 /// Checked here, since lenient builds of http-parser accept blanks in field
 /// names.
 bool IsFieldName(std::string_view name) {
@@ -90,6 +103,12 @@
   return 0;
 }
 
+/// Called with parts of the reason phrase, and at least once.
+int OnStatus(http_parser* parser, const char* /*at*/, std::size_t /*n*/) {
+  if (IsStatus(parser->status_code)) return 0;
+  return Stop(StateOf(parser), ParseFailure::kMalformed);
+}
+
 int OnTarget(http_parser* parser, const char* at, std::size_t n) {
   ParserState& state = StateOf(parser);
   state.target.append(at, n);
@@ -166,7 +185,9 @@
   for (const auto& [name, value] : state.headers) {
     if (!IsFieldName(name)) return Stop(state, ParseFailure::kMalformed);
   }
-  if (state.is_response) return state.expects_head ? kSkipBody : 0;
+  if (state.is_response) {
+    return state.expects_head || IsInterim(parser->status_code) ? kSkipBody : 0;
+  }
   if (DeclaredLength(state) > state.limits.body_bytes) {
     return Stop(state, ParseFailure::kBodyTooLarge);
   }
@@ -191,7 +212,7 @@
   ParserState& state = StateOf(parser);
   state.in_message = false;
   if (state.is_response) {
-    if (parser->status_code < kFirstFinalStatus) return 0;
+    if (IsInterim(parser->status_code)) return 0;
     state.pending_bytes = 0;
     state.responses->push_back({static_cast<int>(parser->status_code),
                                 std::move(state.headers), std::move(state.body),
@@ -214,6 +235,7 @@
     http_parser_settings_init(&it);
     it.on_message_begin = &OnBegin;
     it.on_url = &OnTarget;
+    it.on_status = &OnStatus;
     it.on_header_field = &OnField;
     it.on_header_value = &OnValue;
     it.on_headers_complete = &OnHeadComplete;
--- a/tests/auto/http1/message_parser_test.cc
+++ b/tests/auto/http1/message_parser_test.cc
@@ -27,6 +27,18 @@
   return result;
 }
 
+struct Answers {
+  std::vector<Response> responses;
+  std::optional<ParseFailure> failure;
+};
+
+Answers ParseResponses(const std::string& bytes) {
+  Answers result;
+  auto parser = ResponseParser::Create({});
+  result.failure = parser.Feed(bytes, result.responses);
+  return result;
+}
+
 bool IsRejected(const std::string& bytes) {
   return ParseRequests(bytes).failure == ParseFailure::kMalformed;
 }
@@ -39,6 +51,7 @@
   CPPUNIT_TEST(BodiesThatNobodyNeedsAreNotStored);
   CPPUNIT_TEST(ParsingPausesBetweenRequests);
   CPPUNIT_TEST(EndsOfResponsesAreDetected);
+  CPPUNIT_TEST(ResponsesHaveAValidStatus);
   CPPUNIT_TEST(BodiesCanBeTakenInParts);
   CPPUNIT_TEST(SplitInputGivesSameRequests);
   CPPUNIT_TEST(CorruptedInputGivesNoInvalidRequest);
@@ -216,6 +229,40 @@
     });
   }
 
+  void ResponsesHaveAValidStatus() {
+    Section("other statuses are rejected with the status line", [] {
+      for (const char* status : {"000", "001", "099", "20", "2", "101", "600",
+                                 "999", "1000", "-200", "abc", ""}) {
+        for (const char* reason : {" Unknown", ""}) {
+          const Answers parsed = ParseResponses(
+              "HTTP/1.1 " + std::string(status) + reason + "\r\n");
+          CPPUNIT_ASSERT_MESSAGE(status, parsed.responses.empty());
+          CPPUNIT_ASSERT_MESSAGE(status,
+                                 parsed.failure == ParseFailure::kMalformed);
+        }
+      }
+    });
+    const std::string final =
+        "HTTP/1.1 599 Other\r\nContent-Length: 1\r\n\r\na";
+    Section("interim responses are dropped", [&] {
+      for (const char* status : {"100", "102", "103", "199"}) {
+        const Answers parsed = ParseResponses(
+            "HTTP/1.1 " + std::string(status) + "\r\n\r\n" + final);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, parsed.responses.size());
+        CPPUNIT_ASSERT_EQUAL(599, parsed.responses.front().status);
+      }
+    });
+    Section("and have no body, also if they state a length", [&] {
+      const std::string interim =
+          "HTTP/1.1 100 Continue\r\nContent-Length: 3\r\n\r\n";
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                           ParseResponses(interim + final).responses.size());
+      const Answers parsed = ParseResponses(interim + "abc" + final);
+      CPPUNIT_ASSERT(parsed.responses.empty());
+      CPPUNIT_ASSERT(parsed.failure == ParseFailure::kMalformed);
+    });
+  }
+
   /// Guards against parts that are lost or doubled where a body is passed on
   /// while it arrives, and against limits that count parts already passed on.
   void BodiesCanBeTakenInParts() {
--- a/tests/process/entry_broken_answers_test.cc
+++ b/tests/process/entry_broken_answers_test.cc
@@ -173,6 +173,7 @@
   CPPUNIT_TEST(WholeAnswersArePassedOn);
   CPPUNIT_TEST(AnswersThatEndWhileTheRequestIsSentAreNotWhole);
   CPPUNIT_TEST(AnswersThatAreResetAfterTheRequestAreNotWhole);
+  CPPUNIT_TEST(AnswersWithoutAValidStatusAreNotPassedOn);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -259,6 +260,28 @@
       }
     }
   }
+  /// Guards against answers with a status that HTTP does not know, and against
+  /// callers that wait for their deadline since such an answer was dropped.
+  void AnswersWithoutAValidStatusAreNotPassedOn() {
+    for (const CallKind& call : kCallKinds) {
+      ScriptedFleet fleet;
+      for (const char* status : {"000", "001", "099", "20", "100", "101", "600",
+                                 "999", "1000", "abc"}) {
+        for (const std::size_t size : {kSmallAnswer, kLargeAnswer}) {
+          Section(
+              std::string(call.title) + ", " + std::to_string(size) +
+                  " bytes, status " + status,
+              [&] {
+                ScriptedAnswer answer = WithLength(size);
+                answer.status_line =
+                    std::string("HTTP/1.1 ") + status + " Unknown\r\n";
+                ExpectNoAnswer(fleet.Call(call.method, call.prefix, 0, answer));
+              });
+        }
+      }
+      CPPUNIT_ASSERT(fleet.IsRunning());
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryBrokenAnswersTest);
