Do not take rejected heads for messages without a body

Callers got answers with a blank in the name of a field as signed, empty 200s; requests with such a line or a length over the limit were run with an empty body.

Cause: the check of a complete head stopped http-parser by returning 1, which means "no body follows" there, so that the message counted as complete.

Callbacks now return -1, which is an error from all of them.

MessageParserTest::RejectedHeadsAreNoMessages and EntryBrokenAnswersTest::AnswersWithInvalidFieldsAreNotPassedOn fail on the code before.

--- a/src/libs/http1/message_parser.cc
+++ b/src/libs/http1/message_parser.cc
@@ -46,8 +46,10 @@
 constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kFirstFinalStatus = 200;
 constexpr unsigned kLastStatus = 599;
-constexpr int kStop = 1;
-/// Return value that tells http-parser that no body follows.
+/// Return value of callbacks that ends parsing. Not 1, which
+/// on_headers_complete returns for messages without a body.
+constexpr int kStop = -1;
+/// Return value of on_headers_complete: no body follows.
 constexpr int kSkipBody = 1;
 constexpr std::size_t kNoLimit = std::numeric_limits<std::size_t>::max();
 /// Memory of one field beyond its bytes: two strings in a vector that doubles,
--- a/tests/auto/http1/message_parser_test.cc
+++ b/tests/auto/http1/message_parser_test.cc
@@ -47,6 +47,7 @@
   CPPUNIT_TEST_SUITE(MessageParserTest);
   CPPUNIT_TEST(RequestsAreParsedInOrder);
   CPPUNIT_TEST(AmbiguousFramingIsRejected);
+  CPPUNIT_TEST(RejectedHeadsAreNoMessages);
   CPPUNIT_TEST(SizeLimitsAreEnforced);
   CPPUNIT_TEST(BodiesThatNobodyNeedsAreNotStored);
   CPPUNIT_TEST(ParsingPausesBetweenRequests);
@@ -103,6 +104,39 @@
     });
   }
 
+  /// Guards against messages that count as complete and empty since something
+  /// in their head is rejected.
+  void RejectedHeadsAreNoMessages() {
+    const std::vector<std::string> lines = {"X Y: a", "X-Y : a", "X\tY: a",
+                                            "Content-Length : 2"};
+    for (const std::string& line : lines) {
+      Section(line, [&] {
+        const std::string rest =
+            "\r\n" + line + "\r\nContent-Length: 2\r\n\r\nab";
+        const Answers answers = ParseResponses("HTTP/1.1 200 OK" + rest);
+        CPPUNIT_ASSERT(answers.failure == ParseFailure::kMalformed);
+        CPPUNIT_ASSERT(answers.responses.empty());
+        const Parsed parsed = ParseRequests("POST / HTTP/1.1" + rest);
+        CPPUNIT_ASSERT(parsed.failure == ParseFailure::kMalformed);
+        CPPUNIT_ASSERT(parsed.requests.empty());
+      });
+    }
+    Section("a declared length over the limit", [] {
+      const Parsed parsed = ParseRequests(
+          "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nabcde", {64, 4});
+      CPPUNIT_ASSERT(parsed.failure == ParseFailure::kBodyTooLarge);
+      CPPUNIT_ASSERT(parsed.requests.empty());
+    });
+    Section("behind a valid message, which counts", [&] {
+      const Answers answers = ParseResponses(
+          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"
+          "HTTP/1.1 200 OK\r\nX Y: a\r\n\r\n");
+      CPPUNIT_ASSERT(answers.failure == ParseFailure::kMalformed);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, answers.responses.size());
+      CPPUNIT_ASSERT_EQUAL(std::string("ab"), answers.responses[0].body);
+    });
+  }
+
   void SizeLimitsAreEnforced() {
     const Limits limits{64, 4};
     Section("head larger than the limit", [&] {
--- a/tests/process/entry_broken_answers_test.cc
+++ b/tests/process/entry_broken_answers_test.cc
@@ -2,10 +2,12 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "libs/http1/message.h"
 #include "platform/wire_names.h"
 #include "tests/auto/support/story.h"
 #include "tests/process/entry_fleet.h"
@@ -161,6 +163,18 @@
   return answer;
 }
 
+ScriptedAnswer InChunks(std::size_t size, const std::string& trailer) {
+  constexpr std::size_t kChunk = 4096;
+  ScriptedAnswer answer;
+  answer.fields = "Transfer-Encoding: chunked\r\n";
+  for (std::size_t at = 0; at < size; at += kChunk) {
+    answer.body +=
+        http1::FormatChunk(std::string(std::min(kChunk, size - at), 'd'));
+  }
+  answer.body += "0\r\n" + trailer + "\r\n";
+  return answer;
+}
+
 ScriptedAnswer WithoutLength(std::size_t size, End end) {
   ScriptedAnswer answer;
   answer.body = std::string(size, 'd');
@@ -174,6 +188,8 @@
   CPPUNIT_TEST(AnswersThatEndWhileTheRequestIsSentAreNotWhole);
   CPPUNIT_TEST(AnswersThatAreResetAfterTheRequestAreNotWhole);
   CPPUNIT_TEST(AnswersWithoutAValidStatusAreNotPassedOn);
+  CPPUNIT_TEST(AnswersWithInvalidFieldsAreNotPassedOn);
+  CPPUNIT_TEST(AnswersWithUnusualFieldsArePassedOn);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -282,6 +298,71 @@
       CPPUNIT_ASSERT(fleet.IsRunning());
     }
   }
+  /// Guards against lines that are no header field and reach the caller, or
+  /// make an answer an empty one.
+  void AnswersWithInvalidFieldsAreNotPassedOn() {
+    const std::vector<std::pair<const char*, std::string>> lines = {
+        {"blank in a name", "X-Server Load: 1"},
+        {"tab in a name", "X-Server\tLoad: 1"},
+        {"blank before the colon", "X-Note : a"},
+        {"blank before the colon of the length", "Content-Length : 5000"},
+        {"control byte in a name", "X-No\x01te: a"},
+        {"zero byte in a name", std::string("X-No\0te: a", 10)},
+        {"DEL in a name", "X-No\x7fte: a"},
+        {"byte over 127 in a name", "X-No\xe9te: a"},
+        {"separator in a name", "X-No(te: a"},
+        {"no name", ": a"},
+        {"no colon", "X-Note"},
+        {"control byte in a value", "X-Note: a\x01"},
+        {"zero byte in a value", std::string("X-Note: a\0b", 11)},
+        {"carriage return in a value", "X-Note: a\rb"},
+    };
+    for (const CallKind& call : kCallKinds) {
+      ScriptedFleet fleet;
+      for (const std::size_t size : {kSmallAnswer, kLargeAnswer}) {
+        for (const auto& [title, line] : lines) {
+          Section(std::string(call.title) + ", " + std::to_string(size) +
+                      " bytes, " + title,
+                  [&] {
+                    for (ScriptedAnswer answer :
+                         {WithLength(size), InChunks(size, ""),
+                          WithoutLength(size, End::kShutdown)}) {
+                      answer.fields = line + "\r\n" + answer.fields;
+                      ExpectNoAnswer(
+                          fleet.Call(call.method, call.prefix, 0, answer));
+                    }
+                  });
+        }
+      }
+      CPPUNIT_ASSERT(fleet.IsRunning());
+    }
+  }
+
+  /// Guards against checks that reject what RFC 9112 allows to accept.
+  void AnswersWithUnusualFieldsArePassedOn() {
+    const std::vector<std::pair<const char*, std::string>> lines = {
+        {"X-Note: a b", "X-Note: a\r\n b"},
+        {"X-Note: a\tb", "X-Note:a\tb"},
+        {"X-Note: \xe9", "X-Note: \xe9"},
+        {"!#$%&'*+-.^_`|~09: a", "!#$%&'*+-.^_`|~09: a"},
+    };
+    ScriptedFleet fleet;
+    for (const std::size_t size : {kSmallAnswer, kLargeAnswer}) {
+      for (const auto& [expected, line] : lines) {
+        Section(expected, [&] {
+          ScriptedAnswer answer = WithLength(size);
+          answer.fields += line + "\r\n";
+          const Result it = fleet.Call("GET", "/browse/", 0, answer);
+          CPPUNIT_ASSERT_MESSAGE(Describe(it), it.answer.is_whole);
+          CPPUNIT_ASSERT(it.answer.body == std::string(size, 'd'));
+          CPPUNIT_ASSERT_MESSAGE(
+              Describe(it),
+              it.answer.head.find(expected + std::string("\r\n")) !=
+                  std::string::npos);
+        });
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryBrokenAnswersTest);
