Check the names of trailer fields

An answer in chunks with a blank in the name of a trailer field, before its colon or before its name counted as whole, though its bytes are no HTTP message. The line itself was dropped, like all trailers.

Cause: names were checked when a head was complete, which is before trailers.

Names are now checked while they are read, in heads and trailers. Small answers are rejected, and large ones break off.

EntryBrokenAnswersTest::AnswersWithInvalidTrailersAreNotWhole and MessageParserTest::RejectedHeadsAreNoMessages fail on the code before.

--- a/src/libs/http1/message_parser.cc
+++ b/src/libs/http1/message_parser.cc
@@ -77,9 +77,8 @@
 
 /// Checked here, since lenient builds of http-parser accept blanks in field
 /// names.
-bool IsFieldName(std::string_view name) {
-  if (name.empty()) return false;
-  return name.find_first_of(" \t\"(),/:;<=>?@[\\]{}") == std::string_view::npos;
+bool IsPartOfFieldName(std::string_view part) {
+  return part.find_first_of(" \t\"(),/:;<=>?@[\\]{}") == std::string_view::npos;
 }
 
 int CountHead(ParserState& state, std::size_t n) {
@@ -119,6 +118,7 @@
 
 int OnField(http_parser* parser, const char* at, std::size_t n) {
   ParserState& state = StateOf(parser);
+  if (!IsPartOfFieldName({at, n})) return Stop(state, ParseFailure::kMalformed);
   if (state.head_complete) return 0;  // Trailers are dropped.
   if (state.headers.empty() || state.last_was_value) {
     if (state.headers.size() >= state.limits.fields) {
@@ -184,9 +184,6 @@
 int OnHeadComplete(http_parser* parser) {
   ParserState& state = StateOf(parser);
   state.head_complete = true;
-  for (const auto& [name, value] : state.headers) {
-    if (!IsFieldName(name)) return Stop(state, ParseFailure::kMalformed);
-  }
   if (state.is_response) {
     return state.expects_head || IsInterim(parser->status_code) ? kSkipBody : 0;
   }
--- a/tests/auto/http1/message_parser_test.cc
+++ b/tests/auto/http1/message_parser_test.cc
@@ -121,6 +121,17 @@
         CPPUNIT_ASSERT(parsed.requests.empty());
       });
     }
+    Section("the same in trailers", [&] {
+      for (const std::string& line : lines) {
+        const std::string rest =
+            "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n" + line +
+            "\r\n\r\n";
+        CPPUNIT_ASSERT(
+            ParseResponses("HTTP/1.1 200 OK\r\n" + rest).responses.empty());
+        CPPUNIT_ASSERT(
+            ParseRequests("POST / HTTP/1.1\r\n" + rest).requests.empty());
+      }
+    });
     Section("a declared length over the limit", [] {
       const Parsed parsed = ParseRequests(
           "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nabcde", {64, 4});
--- a/tests/process/entry_broken_answers_test.cc
+++ b/tests/process/entry_broken_answers_test.cc
@@ -189,6 +189,7 @@
   CPPUNIT_TEST(AnswersThatAreResetAfterTheRequestAreNotWhole);
   CPPUNIT_TEST(AnswersWithoutAValidStatusAreNotPassedOn);
   CPPUNIT_TEST(AnswersWithInvalidFieldsAreNotPassedOn);
+  CPPUNIT_TEST(AnswersWithInvalidTrailersAreNotWhole);
   CPPUNIT_TEST(AnswersWithUnusualFieldsArePassedOn);
   CPPUNIT_TEST_SUITE_END();
 
@@ -338,6 +339,32 @@
     }
   }
 
+  void AnswersWithInvalidTrailersAreNotWhole() {
+    for (const CallKind& call : kCallKinds) {
+      ScriptedFleet fleet;
+      for (const std::size_t size : {kSmallAnswer, kLargeAnswer}) {
+        for (const char* trailer :
+             {"X-Server Load: 1", "X-Note : a", " X-Note: a", "X-No\x01te: a",
+              "X-Note: a\x01", "X-Note"}) {
+          Section(std::string(call.title) + ", " + std::to_string(size) +
+                      " bytes, " + trailer,
+                  [&] {
+                    ExpectNoAnswer(fleet.Call(
+                        call.method, call.prefix, 0,
+                        InChunks(size, trailer + std::string("\r\n"))));
+                  });
+        }
+        Section("valid trailers are dropped", [&] {
+          const Result it = fleet.Call(call.method, call.prefix, 0,
+                                       InChunks(size, "X-Note: a\r\n"));
+          CPPUNIT_ASSERT_MESSAGE(Describe(it), it.answer.is_whole);
+          CPPUNIT_ASSERT(it.answer.body == std::string(size, 'd'));
+        });
+      }
+      CPPUNIT_ASSERT(fleet.IsRunning());
+    }
+  }
+
   /// Guards against checks that reject what RFC 9112 allows to accept.
   void AnswersWithUnusualFieldsArePassedOn() {
     const std::vector<std::pair<const char*, std::string>> lines = {
