Reject responses with folded lines

A line of an answer's head that began with a blank, as after a spoilt byte, was joined to the field before it: callers got a value that the server had not sent; behind the request's ID, the answer counted as one to another request, and callers waited for their deadline.

Cause: http-parser joins such lines without telling. RFC 9112, 5.2 lets a proxy replace them or answer 502.

Heads of responses are now parsed line by line, and such a line is malformed. Parsing pauses after each response, so that the next head is seen from its start.

--- a/src/libs/http1/message_parser.cc
+++ b/src/libs/http1/message_parser.cc
@@ -26,10 +26,12 @@
   bool is_dropping = false;
   /// Bytes of the body that were dropped.
   std::size_t dropped_bytes = 0;
-  /// Requests after which parsing pauses.
+  /// Requests after which parsing pauses. It pauses after each response.
   std::size_t max_requests = 0;
   BodyFilter filter;
   bool last_was_value = false;
+  /// The last byte that was parsed ended a line.
+  bool is_line_start = false;
   std::optional<ParseFailure> failure;
   std::string target;
   Headers headers;
@@ -213,6 +215,7 @@
   if (state.is_response) {
     if (IsInterim(parser->status_code)) return 0;
     state.pending_bytes = 0;
+    http_parser_pause(parser, 1);
     state.responses->push_back({static_cast<int>(parser->status_code),
                                 std::move(state.headers), std::move(state.body),
                                 http_should_keep_alive(parser) != 0});
@@ -292,6 +295,38 @@
   return state.failure;
 }
 
+bool IsInHead(const ParserState& state) {
+  return state.in_message && !state.head_complete;
+}
+
+/// Returns how many bytes to parse at once: the rest of a body, or one line.
+std::size_t NextPartSize(const ParserState& state, std::string_view bytes) {
+  if (state.in_message && state.head_complete) return bytes.size();
+  const std::size_t line_end = bytes.find('\n');
+  return line_end == std::string_view::npos ? bytes.size() : line_end + 1;
+}
+
+/// Parses bytes of responses, heads line by line: http-parser joins a line that
+/// starts with a blank to the field before it, which then has a value that the
+/// server has not sent.
+std::optional<ParseFailure> ExecuteByLines(ParserState& state,
+                                           std::string_view bytes) {
+  while (!state.failure && !bytes.empty()) {
+    const bool is_folded = IsInHead(state) && state.is_line_start &&
+                           (bytes.front() == ' ' || bytes.front() == '\t');
+    if (is_folded) {
+      state.failure = ParseFailure::kMalformed;
+      break;
+    }
+    const auto part = bytes.substr(0, NextPartSize(state, bytes));
+    std::size_t consumed = 0;
+    if (Execute(state, part, consumed)) break;
+    state.is_line_start = part[consumed - 1] == '\n';
+    bytes.remove_prefix(consumed);
+  }
+  return state.failure;
+}
+
 }  // namespace
 }  // namespace Internal
 
@@ -355,10 +390,8 @@
 
 std::optional<ParseFailure> ResponseParser::Feed(std::string_view bytes,
                                                  std::vector<Response>& out) {
-  if (bytes.empty()) return state_->failure;
   state_->responses = &out;
-  std::size_t consumed = 0;
-  return Internal::Execute(*state_, bytes, consumed);
+  return Internal::ExecuteByLines(*state_, bytes);
 }
 
 std::optional<ParseFailure> ResponseParser::FeedEnd(
--- a/tests/auto/http1/message_parser_test.cc
+++ b/tests/auto/http1/message_parser_test.cc
@@ -48,6 +48,7 @@
   CPPUNIT_TEST(RequestsAreParsedInOrder);
   CPPUNIT_TEST(AmbiguousFramingIsRejected);
   CPPUNIT_TEST(RejectedHeadsAreNoMessages);
+  CPPUNIT_TEST(FoldedLinesOfResponsesAreRejected);
   CPPUNIT_TEST(SizeLimitsAreEnforced);
   CPPUNIT_TEST(BodiesThatNobodyNeedsAreNotStored);
   CPPUNIT_TEST(ParsingPausesBetweenRequests);
@@ -148,6 +149,45 @@
     });
   }
 
+  /// Guards against values that the server has not sent: a line that starts
+  /// with a blank instead of its first byte is joined to the value before.
+  void FoldedLinesOfResponsesAreRejected() {
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
+    const std::vector<std::string> lines = {"X: a\r\n b", "X: a\r\n\tb",
+                                            "X:\r\n b",   "X: a\n b",
+                                            "X: a\r\n ",  " X: a"};
+    for (const std::string& before : {std::string(), interim, whole}) {
+      for (const std::string& line : lines) {
+        Section(line, [&] {
+          const std::string bytes = before + "HTTP/1.1 200 OK\r\n" + line +
+                                    "\r\nContent-Length: 2\r\n\r\nab";
+          const std::size_t valid = before == whole ? 1 : 0;
+          for (std::size_t step :
+               {std::size_t{1}, std::size_t{2}, std::size_t{7}, bytes.size()}) {
+            auto parser = ResponseParser::Create({});
+            std::vector<Response> responses;
+            std::optional<ParseFailure> failure;
+            for (std::size_t at = 0; at < bytes.size(); at += step) {
+              failure = parser.Feed(bytes.substr(at, step), responses);
+            }
+            CPPUNIT_ASSERT(failure == ParseFailure::kMalformed);
+            CPPUNIT_ASSERT_EQUAL(valid, responses.size());
+          }
+        });
+      }
+    }
+    Section("blanks at the start of a body", [] {
+      const Answers answers = ParseResponses(
+          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n a"
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "3\r\n\n b\r\n0\r\n\r\n");
+      CPPUNIT_ASSERT(!answers.failure);
+      CPPUNIT_ASSERT_EQUAL(std::string(" a"), answers.responses.at(0).body);
+      CPPUNIT_ASSERT_EQUAL(std::string("\n b"), answers.responses.at(1).body);
+    });
+  }
+
   void SizeLimitsAreEnforced() {
     const Limits limits{64, 4};
     Section("head larger than the limit", [&] {
