Reject messages in a transfer coding other than chunks

Callers got encoded bytes, or those of the chunks' framing, as the body of a plain, signed 200.

Cause: http-parser decodes chunks only, and ignores other codings. The field is hop-by-hop, so that the caller wasn't told of them.

A head with a Transfer-Encoding other than one "chunked" is now malformed, in responses and in requests, which servers would get likewise.

EntryBrokenAnswersTest::AnswersInUnknownCodingsAreNotPassedOn and MessageParserTest::UnknownTransferCodingsAreRejected fail on the code before.

--- a/src/libs/http1/message_parser.cc
+++ b/src/libs/http1/message_parser.cc
@@ -83,6 +83,17 @@
   return part.find_first_of(" \t\"(),/:;<=>?@[\\]{}") == std::string_view::npos;
 }
 
+/// Returns whether the body can be decoded: http-parser decodes chunks, also
+/// together with other codings.
+bool IsDecodable(const Headers& headers) {
+  int fields = 0;
+  for (const auto& [name, value] : headers) {
+    if (!net::EqualsIgnoreCase(name, "Transfer-Encoding")) continue;
+    if (++fields > 1 || !net::EqualsIgnoreCase(value, "chunked")) return false;
+  }
+  return true;
+}
+
 int CountHead(ParserState& state, std::size_t n) {
   state.head_bytes += n;
   if (state.head_bytes > state.limits.header_bytes) {
@@ -186,6 +197,9 @@
 int OnHeadComplete(http_parser* parser) {
   ParserState& state = StateOf(parser);
   state.head_complete = true;
+  if (!IsDecodable(state.headers)) {
+    return Stop(state, ParseFailure::kMalformed);
+  }
   if (state.is_response) {
     return state.expects_head || IsInterim(parser->status_code) ? kSkipBody : 0;
   }
--- a/tests/auto/http1/message_parser_test.cc
+++ b/tests/auto/http1/message_parser_test.cc
@@ -49,6 +49,7 @@
   CPPUNIT_TEST(AmbiguousFramingIsRejected);
   CPPUNIT_TEST(RejectedHeadsAreNoMessages);
   CPPUNIT_TEST(FoldedLinesOfResponsesAreRejected);
+  CPPUNIT_TEST(UnknownTransferCodingsAreRejected);
   CPPUNIT_TEST(SizeLimitsAreEnforced);
   CPPUNIT_TEST(BodiesThatNobodyNeedsAreNotStored);
   CPPUNIT_TEST(ParsingPausesBetweenRequests);
@@ -188,6 +189,36 @@
     });
   }
 
+  /// Guards against bodies that are passed on in a coding that the fields no
+  /// longer name.
+  void UnknownTransferCodingsAreRejected() {
+    const std::string chunks = "\r\n2\r\nab\r\n0\r\n\r\n";
+    for (const char* codings :
+         {"Transfer-Encoding: gzip\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+          "Transfer-Encoding: chunked, gzip\r\n",
+          "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+          "Transfer-Encoding: xchunked\r\n", "Transfer-Encoding: \r\n",
+          "transfer-encoding: GZIP\r\nContent-Length: 2\r\n",
+          "Transfer-Encoding: identity\r\nContent-Length: 2\r\n"}) {
+      Section(codings, [&] {
+        const Answers answers =
+            ParseResponses("HTTP/1.1 200 OK\r\n" + (codings + chunks));
+        CPPUNIT_ASSERT(answers.failure == ParseFailure::kMalformed);
+        CPPUNIT_ASSERT(answers.responses.empty());
+        const Parsed parsed =
+            ParseRequests("POST / HTTP/1.1\r\n" + (codings + chunks));
+        CPPUNIT_ASSERT(parsed.failure == ParseFailure::kMalformed);
+        CPPUNIT_ASSERT(parsed.requests.empty());
+      });
+    }
+    Section("chunked in any case", [&] {
+      const Answers answers = ParseResponses(
+          "HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n" + chunks);
+      CPPUNIT_ASSERT_EQUAL(std::string("ab"), answers.responses.at(0).body);
+    });
+  }
+
   void SizeLimitsAreEnforced() {
     const Limits limits{64, 4};
     Section("head larger than the limit", [&] {
--- a/tests/process/entry_broken_answers_test.cc
+++ b/tests/process/entry_broken_answers_test.cc
@@ -190,6 +190,7 @@
   CPPUNIT_TEST(AnswersWithoutAValidStatusAreNotPassedOn);
   CPPUNIT_TEST(AnswersWithInvalidFieldsAreNotPassedOn);
   CPPUNIT_TEST(AnswersWithInvalidTrailersAreNotWhole);
+  CPPUNIT_TEST(AnswersInUnknownCodingsAreNotPassedOn);
   CPPUNIT_TEST(AnswersWithUnusualFieldsArePassedOn);
   CPPUNIT_TEST_SUITE_END();
 
@@ -368,6 +369,30 @@
     }
   }
 
+  /// Guards against encoded bytes that reach the caller as the body.
+  void AnswersInUnknownCodingsAreNotPassedOn() {
+    for (const CallKind& call : kCallKinds) {
+      ScriptedFleet fleet;
+      for (const std::size_t size : {kSmallAnswer, kLargeAnswer}) {
+        for (const char* codings :
+             {"gzip", "gzip, chunked", "chunked, gzip", "identity", "xchunked",
+              "chunked, chunked", "gzip\r\nTransfer-Encoding: chunked"}) {
+          Section(
+              std::string(call.title) + ", " + std::to_string(size) +
+                  " bytes, " + codings,
+              [&] {
+                ScriptedAnswer answer = InChunks(size, "");
+                answer.fields =
+                    std::string("Transfer-Encoding: ") + codings + "\r\n";
+                answer.end = End::kShutdown;
+                ExpectNoAnswer(fleet.Call(call.method, call.prefix, 0, answer));
+              });
+        }
+      }
+      CPPUNIT_ASSERT(fleet.IsRunning());
+    }
+  }
+
   /// Guards against checks that reject what RFC 9112 allows to accept.
   void AnswersWithUnusualFieldsArePassedOn() {
     const std::vector<std::pair<const char*, std::string>> lines = {
