Check the answers that evhttp accepts

The daemon passed on answers with status 1, 20, 99 or 600, with blanks and control bytes in names of fields, and in transfer codings that callers were not told of. Health checks and replies of the store count through the same client.

Cause: evhttp accepts nearly any number and bytes, and ignores codings other than chunks; HttpClient checked only that a length was stated in some way.

--- a/src/libs/http1/message_parser.cc
+++ b/src/libs/http1/message_parser.cc
@@ -2,6 +2,7 @@
 
 #include <http_parser.h>
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -44,10 +45,6 @@
 
 namespace {
 
-constexpr unsigned kFirstStatus = 100;
-constexpr unsigned kSwitchingProtocols = 101;
-constexpr unsigned kFirstFinalStatus = 200;
-constexpr unsigned kLastStatus = 599;
 /// Return value of callbacks that ends parsing. Not 1, which
 /// on_headers_complete returns for messages without a body.
 constexpr int kStop = -1;
@@ -62,36 +59,19 @@
   return *static_cast<ParserState*>(parser->data);
 }
 
+int StatusOf(const http_parser& parser) {
+  return static_cast<int>(parser.status_code);
+}
+
 int Stop(ParserState& state, ParseFailure failure) {
   state.failure = failure;
   return kStop;
 }
 
-/// Returns whether a response may have this status (RFC 9110, 15). No request
-/// asks for another protocol.
-bool IsStatus(unsigned status) {
-  return status >= kFirstStatus && status <= kLastStatus &&
-         status != kSwitchingProtocols;
-}
-
-/// Returns whether another response follows this one, which has no body.
-bool IsInterim(unsigned status) { return status < kFirstFinalStatus; }
-
 /// Checked here, since lenient builds of http-parser accept blanks in field
 /// names.
 bool IsPartOfFieldName(std::string_view part) {
-  return part.find_first_of(" \t\"(),/:;<=>?@[\\]{}") == std::string_view::npos;
-}
-
-/// Returns whether the body can be decoded: http-parser decodes chunks, also
-/// together with other codings.
-bool IsDecodable(const Headers& headers) {
-  int fields = 0;
-  for (const auto& [name, value] : headers) {
-    if (!net::EqualsIgnoreCase(name, "Transfer-Encoding")) continue;
-    if (++fields > 1 || !net::EqualsIgnoreCase(value, "chunked")) return false;
-  }
-  return true;
+  return std::ranges::all_of(part, &net::IsTokenByte);
 }
 
 int CountHead(ParserState& state, std::size_t n) {
@@ -119,7 +99,7 @@
 
 /// Called with parts of the reason phrase, and at least once.
 int OnStatus(http_parser* parser, const char* /*at*/, std::size_t /*n*/) {
-  if (IsStatus(parser->status_code)) return 0;
+  if (net::IsStatus(StatusOf(*parser))) return 0;
   return Stop(StateOf(parser), ParseFailure::kMalformed);
 }
 
@@ -197,11 +177,14 @@
 int OnHeadComplete(http_parser* parser) {
   ParserState& state = StateOf(parser);
   state.head_complete = true;
-  if (!IsDecodable(state.headers)) {
+  // http-parser decodes chunks, and ignores other codings.
+  if (!net::HasKnownTransferCoding(state.headers)) {
     return Stop(state, ParseFailure::kMalformed);
   }
   if (state.is_response) {
-    return state.expects_head || IsInterim(parser->status_code) ? kSkipBody : 0;
+    return state.expects_head || net::IsInterimStatus(StatusOf(*parser))
+               ? kSkipBody
+               : 0;
   }
   if (DeclaredLength(state) > state.limits.body_bytes) {
     return Stop(state, ParseFailure::kBodyTooLarge);
@@ -227,11 +210,11 @@
   ParserState& state = StateOf(parser);
   state.in_message = false;
   if (state.is_response) {
-    if (IsInterim(parser->status_code)) return 0;
+    if (net::IsInterimStatus(StatusOf(*parser))) return 0;
     state.pending_bytes = 0;
     http_parser_pause(parser, 1);
-    state.responses->push_back({static_cast<int>(parser->status_code),
-                                std::move(state.headers), std::move(state.body),
+    state.responses->push_back({StatusOf(*parser), std::move(state.headers),
+                                std::move(state.body),
                                 http_should_keep_alive(parser) != 0});
     return 0;
   }
@@ -422,7 +405,7 @@
 }
 
 Response ResponseParser::PartialHead() const {
-  return {static_cast<int>(state_->parser.status_code), state_->headers, "",
+  return {Internal::StatusOf(state_->parser), state_->headers, "",
           http_should_keep_alive(&state_->parser) != 0};
 }
 
--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -65,13 +65,36 @@
   return std::nullopt;
 }
 
-/// Whether the answer's end is recognisable. If only the close of the
-/// connection ends it, a complete answer cannot be told from a truncated one.
-bool HasExplicitLength(const HttpAnswer& answer, const std::string& method) {
+/// Whether the answer states the length of its body and has one of this length.
+/// If only the close of the connection ends it, a complete answer cannot be
+/// told from a truncated one.
+bool HasStatedLength(const HttpAnswer& answer, const std::string& method) {
   if (method == "HEAD") return true;
   if (answer.status == kNoContent || answer.status == kNotModified) return true;
-  return FindHeader(answer.headers, "Content-Length") != nullptr ||
-         FindHeader(answer.headers, "Transfer-Encoding") != nullptr;
+  if (FindHeader(answer.headers, "Transfer-Encoding") != nullptr) return true;
+  const std::string length = std::to_string(answer.body.size());
+  int fields = 0;
+  for (const auto& [name, value] : answer.headers) {
+    if (!EqualsIgnoreCase(name, "Content-Length")) continue;
+    if (++fields > 1 || value != length) return false;
+  }
+  return fields == 1;
+}
+
+bool IsField(const std::string& name, const std::string& value) {
+  return !name.empty() && std::ranges::all_of(name, &IsTokenByte) &&
+         std::ranges::all_of(value, &IsFieldValueByte);
+}
+
+/// Whether the answer is a valid final one. evhttp accepts any number as status
+/// and any bytes in fields, and ignores transfer codings other than chunks.
+bool IsValid(const HttpAnswer& answer, const std::string& method) {
+  return IsStatus(answer.status) && !IsInterimStatus(answer.status) &&
+         std::ranges::all_of(
+             answer.headers,
+             [](const auto& it) { return IsField(it.first, it.second); }) &&
+         HasKnownTransferCoding(answer.headers) &&
+         HasStatedLength(answer, method);
 }
 
 bool RequestsClose(const Headers& headers) {
@@ -364,7 +387,7 @@
         Internal::CopyHeaders(evhttp_request_get_input_headers(request));
     answer->body = Internal::CopyBody(evhttp_request_get_input_buffer(request));
   }
-  if (answer && !HasExplicitLength(*answer, owned->method)) {
+  if (answer && !IsValid(*answer, owned->method)) {
     answer.reset();
     failure = HttpFailure::kTruncated;
   }
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -51,7 +51,8 @@
 enum class HttpFailure : std::uint8_t {
   kConnectFailed,   ///< No byte of the request was sent.
   kConnectionLost,  ///< The request may have been sent.
-  kTruncated,       ///< The answer ended early, or has no explicit length.
+  kTruncated,       ///< The answer ended early, has no explicit length, or is
+                    ///< malformed.
   kTooLarge,
   kTimeout,  ///< The request may have been sent.
 };
--- a/src/libs/net/http_types.cc
+++ b/src/libs/net/http_types.cc
@@ -30,6 +30,42 @@
   });
 }
 
+bool IsStatus(int status) {
+  constexpr int kFirst = 100;
+  constexpr int kLast = 599;
+  constexpr int kSwitchingProtocols = 101;
+  return status >= kFirst && status <= kLast && status != kSwitchingProtocols;
+}
+
+bool IsInterimStatus(int status) {
+  constexpr int kFirstFinal = 200;
+  return IsStatus(status) && status < kFirstFinal;
+}
+
+bool IsTokenByte(char byte) {
+  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+  const bool is_letter =
+      (byte >= 'a' && byte <= 'z') || (byte >= 'A' && byte <= 'Z');
+  const bool is_digit = byte >= '0' && byte <= '9';
+  return is_letter || is_digit || kMarks.find(byte) != std::string_view::npos;
+}
+
+bool IsFieldValueByte(char byte) {
+  constexpr unsigned char kFirstVisible = ' ';
+  constexpr unsigned char kDelete = 0x7f;
+  const auto it = static_cast<unsigned char>(byte);
+  return it == '\t' || (it >= kFirstVisible && it != kDelete);
+}
+
+bool HasKnownTransferCoding(const Headers& headers) {
+  int fields = 0;
+  for (const auto& [name, value] : headers) {
+    if (!EqualsIgnoreCase(name, "Transfer-Encoding")) continue;
+    if (++fields > 1 || !EqualsIgnoreCase(value, "chunked")) return false;
+  }
+  return true;
+}
+
 std::string QueryValue(const std::string& target, const char* name) {
   evkeyvalq fields{};
   if (evhttp_parse_query(target.c_str(), &fields) != 0) return "";
--- a/src/libs/net/http_types.h
+++ b/src/libs/net/http_types.h
@@ -34,6 +34,22 @@
 /// one of them has no "=" or no name.
 std::optional<Headers> QueryParameters(const std::string& target);
 
+/// Whether an answer may have this status (RFC 9110, 15). Nothing here asks for
+/// another protocol, so that 101 is none.
+bool IsStatus(int status);
+
+/// Whether another answer follows one with this status, which has no body.
+bool IsInterimStatus(int status);
+
+/// Whether a field name may have this byte (RFC 9110, 5.6.2).
+bool IsTokenByte(char byte);
+
+/// Whether a field value may have this byte (RFC 9110, 5.5).
+bool IsFieldValueByte(char byte);
+
+/// Whether the body is sent as it is or in chunks, not in another coding.
+bool HasKnownTransferCoding(const Headers& headers);
+
 namespace Internal {
 
 Headers CopyHeaders(const evkeyvalq* fields);
--- a/tests/auto/net/http_test.cc
+++ b/tests/auto/net/http_test.cc
@@ -7,6 +7,8 @@
 #include <unistd.h>
 
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "libs/net/http_server.h"
 #include "libs/net/socket_address.h"
@@ -66,6 +68,7 @@
   CPPUNIT_TEST_SUITE(HttpTest);
   CPPUNIT_TEST(AnswersAreComplete);
   CPPUNIT_TEST(FailuresAreDistinguished);
+  CPPUNIT_TEST(MalformedAnswersAreNoAnswers);
   CPPUNIT_TEST(ClosedCallerConnectionIsDetected);
   CPPUNIT_TEST(OnlyUnopenedConnectionsAreConnecting);
   CPPUNIT_TEST_SUITE_END();
@@ -154,6 +157,54 @@
     });
   }
 
+  /// Guards against answers that evhttp accepts although they are no HTTP.
+  void MalformedAnswersAreNoAnswers() {
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string body = "Content-Length: 2\r\n\r\nab";
+    const std::string chunks = "\r\n2\r\nab\r\n0\r\n\r\n";
+    std::vector<std::string> answers = {
+        ok + "Content-Length: +2\r\n\r\nab",
+        ok + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+        ok + "Transfer-Encoding: gzip\r\nConnection: close\r\n\r\nab",
+        ok + "Transfer-Encoding: gzip, chunked\r\n" + chunks,
+        ok + "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n" +
+            chunks,
+    };
+    for (const char* status : {"000", "001", "099", "20", "100", "101", "103",
+                               "-200", "600", "999", "2000", "abc"}) {
+      answers.push_back("HTTP/1.1 " + std::string(status) + " Unknown\r\n" +
+                        body);
+    }
+    for (const char* line :
+         {"X Y: a", "X\tY: a", "X-Y : a", ": a", " X: a", "X\x01Y: a",
+          "X\x7fY: a", "X\xe9Y: a", "X(Y: a", "XY", "X: a\x01", "X: a\x7f"}) {
+      answers.push_back(ok + line + "\r\n" + body);
+    }
+    for (const std::string& answer : answers) {
+      Section(answer, [&] {
+        Session session;
+        const RawServer server(*session.loop, answer);
+        HttpCall call = CallTo(kRaw);
+        call.timeout = Millis(500);
+        session.Send(call);
+        CPPUNIT_ASSERT(!session.answer);
+        CPPUNIT_ASSERT(session.failure != HttpFailure::kConnectFailed);
+      });
+    }
+    Section("valid ones", [&] {
+      for (const std::string& answer :
+           {ok + "X-Y: a b\t\xe9\r\n!#$%&'*+-.^_`|~09: a\r\n" + body,
+            ok + "transfer-encoding: Chunked\r\n" + chunks,
+            "HTTP/1.1 599 Other\r\n" + body}) {
+        Session session;
+        const RawServer server(*session.loop, answer);
+        session.Send(CallTo(kRaw));
+        CPPUNIT_ASSERT_MESSAGE(answer, session.answer.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("ab"), session.answer->body);
+      }
+    });
+  }
+
   void ClosedCallerConnectionIsDetected() {
     Session session;
     auto server = HttpServer::Listen(*session.loop, kServer, {});
--- a/tests/standins/backend.cc
+++ b/tests/standins/backend.cc
@@ -7,8 +7,11 @@
 ///
 /// Control requests, on each server's port:
 ///   PUT /standin/mode {"mode": "ok|stall|slow|error|corrupt|truncate|reset|
-///       bare503|foreign", "draining": bool, "service_ms": n, "slots": n,
-///       "flap_ms": n}
+///       bare503|foreign|spoilt", "draining": bool, "service_ms": n,
+///       "slots": n, "flap_ms": n}
+///       With "spoilt" also {"status": n, "field": name, "coding": text,
+///       "body_bytes": n}: status, an additional field, and the transfer coding
+///       of answers, valid or not, and the least size of their bodies.
 ///   GET /standin/executions  log lines of this server
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -114,6 +117,10 @@
     service_ms_ = body.value("service_ms", service_ms_);
     slots_ = body.value("slots", slots_);
     flap_ms_ = body.value("flap_ms", flap_ms_);
+    spoilt_status_ = body.value("status", 200);
+    spoilt_field_ = body.value("field", "");
+    spoilt_coding_ = body.value("coding", "");
+    spoilt_bytes_ = body.value("body_bytes", std::size_t{0});
     Send(request, 200, "{}");
   }
 
@@ -191,10 +198,12 @@
       evhttp_connection_set_closecb(it, nullptr, nullptr);
     }
     if (mode == "reset") return Reset(request);
+    if (mode == "spoilt") body.resize(std::max(body.size(), spoilt_bytes_));
     const std::string echo = mode == "foreign" ? "another-request" : id;
     evhttp_add_header(fields, "Ibisladder-Request-Id", echo.c_str());
     evhttp_add_header(fields, "Content-Digest", Digest(body).c_str());
     AddLoad(request);
+    if (mode == "spoilt") return SendSpoilt(request, body);
     if (mode == "error") return Send(request, 500, "internal error");
     if (mode == "corrupt") body[body.size() / 2] ^= 0x20;
     if (mode == "truncate") {
@@ -205,6 +214,18 @@
     Send(request, 200, body);
   }
 
+  void SendSpoilt(evhttp_request* request, const std::string& body) const {
+    evkeyvalq* fields = evhttp_request_get_output_headers(request);
+    if (!spoilt_field_.empty()) {
+      evhttp_add_header(fields, spoilt_field_.c_str(), "1");
+    }
+    if (!spoilt_coding_.empty()) {
+      evhttp_add_header(fields, "Transfer-Encoding", spoilt_coding_.c_str());
+      evhttp_add_header(fields, "Connection", "close");
+    }
+    Send(request, spoilt_status_, body);
+  }
+
   void Shed(const Execution& execution) {
     evkeyvalq* fields = evhttp_request_get_output_headers(execution.request);
     evhttp_add_header(fields, "Ibisladder-Request-Id", execution.id.c_str());
@@ -284,6 +305,10 @@
   int slots_;
   int service_ms_;
   int flap_ms_ = 0;
+  int spoilt_status_ = 200;
+  std::string spoilt_field_;
+  std::string spoilt_coding_;
+  std::size_t spoilt_bytes_ = 0;
   int running_ = 0;
   TimePoint started_;
   evhttp* http_;
