Move answer checks and the scripted fleet to files of their own

The checks of what evhttp accepts move to net/answer_check, the fleet of the test and its raw caller to files beside it. Behaviour that changes with it: blanks behind "chunked" and leading zeros of a length are accepted, as RFC 9112 allows.

--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -10,6 +10,7 @@
 #include <optional>
 #include <utility>
 
+#include "libs/net/answer_check.h"
 #include "libs/net/socket_address.h"
 
 namespace ibisladder::net {
@@ -27,8 +28,6 @@
 /// A call whose answer makes progress may take so many times its timeout.
 constexpr int kTotalTimeoutFactor = 2;
 constexpr Duration kLateTurnGrace = Millis(100);
-constexpr int kNoContent = 204;
-constexpr int kNotModified = 304;
 
 timeval ToTimeval(Duration duration) {
   timeval result{};
@@ -65,38 +64,6 @@
   return std::nullopt;
 }
 
-/// Whether the answer states the length of its body and has one of this length.
-/// If only the close of the connection ends it, a complete answer cannot be
-/// told from a truncated one.
-bool HasStatedLength(const HttpAnswer& answer, const std::string& method) {
-  if (method == "HEAD") return true;
-  if (answer.status == kNoContent || answer.status == kNotModified) return true;
-  if (FindHeader(answer.headers, "Transfer-Encoding") != nullptr) return true;
-  const std::string length = std::to_string(answer.body.size());
-  int fields = 0;
-  for (const auto& [name, value] : answer.headers) {
-    if (!EqualsIgnoreCase(name, "Content-Length")) continue;
-    if (++fields > 1 || value != length) return false;
-  }
-  return fields == 1;
-}
-
-bool IsField(const std::string& name, const std::string& value) {
-  return !name.empty() && std::ranges::all_of(name, &IsTokenByte) &&
-         std::ranges::all_of(value, &IsFieldValueByte);
-}
-
-/// Whether the answer is a valid final one. evhttp accepts any number as status
-/// and any bytes in fields, and ignores transfer codings other than chunks.
-bool IsValid(const HttpAnswer& answer, const std::string& method) {
-  return IsStatus(answer.status) && !IsInterimStatus(answer.status) &&
-         std::ranges::all_of(
-             answer.headers,
-             [](const auto& it) { return IsField(it.first, it.second); }) &&
-         HasKnownTransferCoding(answer.headers) &&
-         HasStatedLength(answer, method);
-}
-
 bool RequestsClose(const Headers& headers) {
   const std::string* value = FindHeader(headers, "Connection");
   return value != nullptr && EqualsIgnoreCase(*value, "close");
@@ -387,7 +354,7 @@
         Internal::CopyHeaders(evhttp_request_get_input_headers(request));
     answer->body = Internal::CopyBody(evhttp_request_get_input_buffer(request));
   }
-  if (answer && !IsValid(*answer, owned->method)) {
+  if (answer && !IsValidAnswer(*answer, owned->method)) {
     answer.reset();
     failure = HttpFailure::kTruncated;
   }
--- a/src/libs/net/http_types.cc
+++ b/src/libs/net/http_types.cc
@@ -61,7 +61,11 @@
   int fields = 0;
   for (const auto& [name, value] : headers) {
     if (!EqualsIgnoreCase(name, "Transfer-Encoding")) continue;
-    if (++fields > 1 || !EqualsIgnoreCase(value, "chunked")) return false;
+    std::string_view coding = value;
+    while (coding.ends_with(' ') || coding.ends_with('\t')) {
+      coding.remove_suffix(1);
+    }
+    if (++fields > 1 || !EqualsIgnoreCase(coding, "chunked")) return false;
   }
   return true;
 }
--- a/src/plugins/gateway/server_connections.cc
+++ b/src/plugins/gateway/server_connections.cc
@@ -27,11 +27,11 @@
   return UnsentBytes(connection) < connection.request_bytes;
 }
 
-/// Whether the server's kernel has the whole request. If not, the server may
-/// have closed the connection because it failed. If a failed write has taken
-/// the error of a reset, a read reports a regular end; the bytes that were not
-/// written tell that, too.
-bool HasReceivedRequest(const ServerConnection& connection) {
+/// Whether the server's kernel has taken the whole request. A server that
+/// closes the connection earlier may have failed while it sent its answer. Also
+/// false if a write failed: the read after it may report a regular end instead
+/// of a reset.
+bool IsRequestDelivered(const ServerConnection& connection) {
   return UnsentBytes(connection) == 0 &&
          net::IsOutputAcknowledged(bufferevent_getfd(connection.bev));
 }
@@ -154,7 +154,8 @@
     it.connections->HandleConnected(it);
     return;
   }
-  // One call may report a failed write together with the end of the input.
+  // Deferred callbacks may report a failed write and the end of the input at
+  // once.
   const bool is_regular =
       (what & BEV_EVENT_EOF) != 0 && (what & BEV_EVENT_ERROR) == 0;
   it.connections->HandleDisconnect(it, is_regular);
@@ -175,7 +176,7 @@
     return;
   }
   const std::uint64_t id = connection.id;
-  const bool may_be_whole = is_regular && HasReceivedRequest(connection);
+  const bool may_be_whole = is_regular && IsRequestDelivered(connection);
   if (may_be_whole && connection.parser.in_message()) {
     std::vector<http1::Response> responses;
     connection.parser.FeedEnd(responses);
