--- a/review/11/case-3.cc
+++ b/review/11/case-3.cc
@@ -1,60 +1,33 @@
-// Uploads within the operator's limits, one at a time, at machines of 160 MB.
-#include <algorithm>
-
+// Requests with a withdrawn key after the store came back from an older copy.
 #include "review/standins-3/standins.h"
 
 namespace ibisladder::review {
 namespace {
 
-constexpr int kMachines = 2;
-constexpr int kUploads = 3;
-constexpr int kMemoryLimitMb = 160;
-constexpr std::int64_t kKbPerMb = 1024;
-constexpr int kStatusOk = 200;
-/// Limit of the configuration, as `fleetbench wire` shows it: 64 MB.
-constexpr std::size_t kBodyLimit = std::size_t{64} << 20U;
-constexpr std::size_t kLargeBody = std::size_t{60} << 20U;
-constexpr std::size_t kSmallBody = std::size_t{1} << 20U;
-/// A rule's day has failed if processes end so often on that many machines.
-constexpr int kEndsOfRule = 3;
-constexpr int kMachinesOfRule = 2;
-
-/// Ends a process whose memory exceeds the machine's limit, and starts it
-/// again, as the platform does.
-class Machine {
- public:
-  explicit Machine(Entry& entry, Record& record)
-      : entry_(entry), record_(record), thread_([this] { Watch(); }) {}
-  ~Machine() {
-    is_over_ = true;
-    thread_.join();
-  }
-  Machine(const Machine&) = delete;
-  Machine& operator=(const Machine&) = delete;
-
-  int ends() const { return ends_; }
+constexpr int kMemoryLimitMb = 260;
+constexpr char kKey[] = "key-of-acme-41d7";
+constexpr char kWithdrawnKey[] = "key-of-acme-93c2";
+/// `revoke_s` of the settings.
+constexpr Millis kRevocation(5000);
+/// Age of the copy, beyond the withdrawal.
+constexpr Millis kCopyAge(1000);
+/// From the withdrawal's acknowledgement to the drill.
+constexpr Millis kUntilDrill(6000);
+constexpr Millis kAway(500);
+/// From the store's return until the operator has written its newest version
+/// again.
+constexpr Millis kUntilRewritten(1500);
 
- private:
-  void Watch() {
-    while (!is_over_) {
-      std::this_thread::sleep_for(Millis(2));
-      const std::int64_t peak = entry_.PeakMemoryKb();
-      if (peak <= kMemoryLimitMb * kKbPerMb) continue;
-      record_.Write("memory " + std::to_string(peak / kKbPerMb) +
-                    " MB exceeds the machine's " +
-                    std::to_string(kMemoryLimitMb) +
-                    " MB: the process is killed and started again");
-      ++ends_;
-      entry_.Restart();
-    }
-  }
+Message MakeKeyed(const std::string& key) {
+  auto request = MakeRequest("POST", "/charge/1", "order");
+  request.headers.emplace_back("X-Api-Key", key);
+  return request;
+}
 
-  Entry& entry_;
-  Record& record_;
-  std::atomic<bool> is_over_ = false;
-  std::atomic<int> ends_ = 0;
-  std::thread thread_;
-};
+int StatusOfOne(const Entry& entry, const Message& request) {
+  Connection connection(entry.callers());
+  return StatusOf(Ask(connection, request));
+}
 
 int Play(Record& record, const std::string& folder) {
   static Store store;
@@ -62,35 +35,58 @@
   static BackendServer first(store, runs, "s1", "shop");
   static BackendServer second(store, runs, "s2", "shop");
   Configuration configuration;
-  configuration.body_bytes = kBodyLimit;
+  configuration.organisation = "acme";
+  configuration.keys = {kKey, kWithdrawnKey};
   store.Put("op/config", Format(configuration));
-  int machines = 0;
-  for (int i = 1; i <= kMachines; ++i) {
-    const std::string name = "edge-" + std::to_string(i);
-    Entry entry(store, folder, name, kMemoryLimitMb);
-    Machine machine(entry, record);
-    std::this_thread::sleep_for(Millis(1000));
-    for (int n = 1; n <= kUploads; ++n) {
-      Connection connection(entry.callers());
-      const auto request =
-          MakeRequest("POST", "/charge/1",
-                      std::string(HasTrouble() ? kLargeBody : kSmallBody, 'x'));
-      const int status = StatusOf(Ask(connection, request));
-      record.Write(name + ": upload " + IdOf(request) + " of " +
-                   std::to_string(request.body.size()) + " bytes: " +
-                   (status == 0 ? "closed without an answer"
-                                : "status " + std::to_string(status)) +
-                   ", run " + std::to_string(runs.Of(IdOf(request)).size()) +
-                   " times, peak memory " +
-                   std::to_string(entry.PeakMemoryKb()) + " KB");
-      std::this_thread::sleep_for(Millis(500));
-      entry.AwaitReady();
-    }
-    record.Write(name + ": the process ended " +
-                 std::to_string(machine.ends()) + " times");
-    if (machine.ends() >= kEndsOfRule) ++machines;
+  Entry entry(store, folder, "edge-1", kMemoryLimitMb);
+  const Entry other(store, folder, "edge-2", kMemoryLimitMb);
+  std::this_thread::sleep_for(Millis(4000));
+  store.MakeCopy();
+  std::this_thread::sleep_for(kCopyAge);
+  configuration.version = 2;
+  configuration.keys = {kKey};
+  const auto withdrawn_at = store.Put("op/config", Format(configuration));
+  record.Write("version 2 withdraws a key: acknowledged");
+  const auto since = [&] {
+    return std::chrono::duration_cast<Millis>(Clock::now() - withdrawn_at);
+  };
+  std::this_thread::sleep_for(kUntilDrill);
+  record.Write("the withdrawn key at edge-1: status " +
+               std::to_string(StatusOfOne(entry, MakeKeyed(kWithdrawnKey))) +
+               ", at edge-2: status " +
+               std::to_string(StatusOfOne(other, MakeKeyed(kWithdrawnKey))));
+  if (HasTrouble()) store.Leave();
+  entry.Restart();
+  record.Write("edge-1 was killed and started again");
+  std::this_thread::sleep_for(kAway);
+  if (HasTrouble()) {
+    store.Restore();
+    record.Write("the store is back from its copy");
+  }
+  std::thread operators([&] {
+    std::this_thread::sleep_for(kUntilRewritten);
+    store.Put("op/config", Format(configuration));
+    record.Write("the operator has written version 2 again");
+  });
+  int ran = 0;
+  const auto end = Clock::now() + 2 * kUntilRewritten;
+  while (Clock::now() < end) {
+    const auto sent_at = since();
+    const auto request = MakeKeyed(kWithdrawnKey);
+    const int status = StatusOfOne(entry, request);
+    const auto n = runs.Of(IdOf(request)).size();
+    record.Write(IdOf(request) + ": sent " + std::to_string(sent_at.count()) +
+                 " ms after the acknowledgement: status " +
+                 std::to_string(status) + ", run " + std::to_string(n) +
+                 " times");
+    if (sent_at > kRevocation && n > 0) ++ran;
+    std::this_thread::sleep_for(Millis(50));
   }
-  return machines >= kMachinesOfRule ? kBroken : kHeld;
+  operators.join();
+  record.Write(std::to_string(ran) +
+               " requests with the withdrawn key ran that were sent later than "
+               "revoke_s after the acknowledgement");
+  return ran > 0 ? kBroken : kHeld;
 }
 
 }  // namespace
--- a/review/standins-3/standins.h
+++ b/review/standins-3/standins.h
@@ -96,6 +96,14 @@
   /// Returns when the change is acknowledged.
   Clock::time_point Put(const std::string& key, const std::string& value);
 
+  // A drill: the store is away and comes back from an older copy.
+
+  void MakeCopy();
+  /// Closes connections instead of replying.
+  void Leave();
+  /// Comes back with the copy, and begins a new era.
+  void Restore();
+
  private:
   struct Item {
     std::string value;
@@ -126,13 +134,20 @@
   void Set(const std::string& key, const std::string& value,
            std::uint64_t lease);
 
+  struct Contents {
+    std::map<std::string, Item> items;
+    std::vector<Event> events;
+    std::map<std::uint64_t, Lease> leases;
+    std::uint64_t revision = 10;
+    std::uint64_t last_lease = 100;
+  };
+
   std::mutex mutex_;
   std::condition_variable changed_;
-  std::map<std::string, Item> items_;
-  std::vector<Event> events_;
-  std::map<std::uint64_t, Lease> leases_;
-  std::uint64_t revision_ = 10;
-  std::uint64_t last_lease_ = 100;
+  Contents contents_;
+  Contents copy_;
+  std::atomic<bool> is_away_ = false;
+  std::atomic<int> era_ = 1;
   Listener listener_;
 };
 
@@ -175,9 +190,9 @@
 struct Configuration {
   int version = 1;
   std::size_t body_bytes = std::size_t{64} << 20U;
-  /// Name and key of the only organisation; none if empty.
+  /// Name and keys of the only organisation; none if empty.
   std::string organisation;
-  std::string key;
+  std::vector<std::string> keys;
 };
 /// The at-most-once route /charge/ and the idempotent route /browse/ of
 /// `kHost`, both to the service "shop".
