Refuse keys at starts after a restore until the store is proven

Cause: a process verifies its version by the store's, which it compares only with versions that it has heard of. One that has just started has heard of none, and cannot tell that the store was restored.

Now a process needs one of three proofs before it accepts keys: the record of the store's era in the store, which watchers write once a restored store has the highest known version; an answer of another instance, which now contains the highest version that it knows of, installed or announced; or 10 s. While in doubt, no list of the store disproves an announced version. An instance that had lost the store when the era rose does the same. Calm starts, also of all instances, find the record and ask nobody; a store without eras is trusted.

Not covered: valid keys are refused, too, until the lost version is written again.

--- a/src/libs/base/log_event.cc
+++ b/src/libs/base/log_event.cc
@@ -154,6 +154,10 @@
       return "configuration_read";
     case LogEvent::kStoreRestored:
       return "store_restored";
+    case LogEvent::kStoreDoubted:
+      return "store_doubted";
+    case LogEvent::kStoreTrusted:
+      return "store_trusted";
     case LogEvent::kOperatorCall:
       return "operator_call";
     case LogEvent::kOperatorRefused:
--- a/src/libs/base/log_event.h
+++ b/src/libs/base/log_event.h
@@ -82,6 +82,8 @@
   kKeysVerified = 1414,
   kConfigurationRead = 1415,
   kStoreRestored = 1416,
+  kStoreDoubted = 1417,
+  kStoreTrusted = 1418,
 
   kOperatorCall = 1501,
   kOperatorRefused = 1502,
--- a/src/libs/gateway/configuration_freshness.cc
+++ b/src/libs/gateway/configuration_freshness.cc
@@ -116,6 +116,7 @@
 std::optional<FreshnessAnswer> AnswerTo(const ConfigurationFreshness& freshness,
                                         const FreshnessQuestion& question,
                                         ConfigVersion installed,
+                                        ConfigVersion highest_known,
                                         TimePoint now) {
   const auto& verified_at = freshness.verified_at;
   if (!freshness.is_needed || !verified_at || now < *verified_at)
@@ -124,6 +125,7 @@
   answer.number = question.number;
   answer.version = installed;
   answer.age_us = (now - *verified_at).count();
+  answer.highest_known = highest_known;
   return answer;
 }
 
--- a/src/libs/gateway/configuration_freshness.h
+++ b/src/libs/gateway/configuration_freshness.h
@@ -38,10 +38,13 @@
   ConfigVersion version;
   /// Time since the sender's `verified_at`, in microseconds.
   std::int64_t age_us = 0;
+  /// The highest version that the sender knows of, installed or announced;
+  /// lower than `version` in answers of builds that do not tell it.
+  ConfigVersion highest_known;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(format, number, version, age_us);
+    archive(format, number, version, age_us, highest_known);
   }
 };
 
@@ -98,7 +101,9 @@
 /// Returns the answer to a question; nullopt if this instance knows nothing.
 std::optional<FreshnessAnswer> AnswerTo(const ConfigurationFreshness& freshness,
                                         const FreshnessQuestion& question,
-                                        ConfigVersion installed, TimePoint now);
+                                        ConfigVersion installed,
+                                        ConfigVersion highest_known,
+                                        TimePoint now);
 /// Handles an answer from `peer`. Returns the name of the instance that gave
 /// it; nullopt for answers to no open question and those that cannot be true.
 std::optional<std::string> HandleFreshnessAnswer(
--- a/src/plugins/fleet/fleet_configuration.cc
+++ b/src/plugins/fleet/fleet_configuration.cc
@@ -101,7 +101,7 @@
   // A store that was restored from an older copy may lack a version that is
   // about to be written again. That one disproves nothing, and is read again
   // after a pause only.
-  const bool is_doubted = gateway::IsDoubted(ended_, now);
+  const bool is_doubted = MayStoreBeBehind(now);
   const bool may_disprove = read.list_sent_at && !is_doubted;
   if (may_disprove && gateway::RecordRead(lag_, *read.list_sent_at, now)) {
     TellKeyStanding();
--- a/src/plugins/fleet/fleet_datagrams.cc
+++ b/src/plugins/fleet/fleet_datagrams.cc
@@ -1,9 +1,11 @@
 // Sends and receives the datagrams between instances.
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 #include "plugins/fleet/datagrams.h"
 #include "plugins/fleet/fleet_task.h"
+#include "plugins/fleet/freshness_codec.h"
 
 namespace ibisladder::fleet {
 namespace {
@@ -132,18 +134,25 @@
   if (!is_due) return;
   last_told_at_ = now;
   const std::string bytes = EncodeVersion();
-  std::set<ZoneName> zones;
-  for (const auto& [name, member] : lists_.members) {
-    if (member.zone != options_.self.zone) {
-      zones.insert(member.zone);
-    } else if (!is_announcing_) {
-      SendTo(member, bytes);
+  if (!is_announcing_) {
+    for (const auto& [name, member] : lists_.members) {
+      if (member.zone == options_.self.zone) SendTo(member, bytes);
     }
   }
+  for (const auto& it : WatchersOfOtherZones(kToldPerZone)) SendTo(it, bytes);
+}
+
+std::vector<gateway::Member> FleetTask::WatchersOfOtherZones(
+    std::size_t per_zone) const {
+  std::set<ZoneName> zones;
+  for (const auto& [name, member] : lists_.members) zones.insert(member.zone);
+  zones.erase(options_.self.zone);
+  std::vector<gateway::Member> result;
   for (const auto& zone : zones) {
-    for (const auto& it : gateway::FirstWatchers(lists_, zone, kToldPerZone))
-      SendTo(it, bytes);
+    std::ranges::move(gateway::FirstWatchers(lists_, zone, per_zone),
+                      std::back_inserter(result));
   }
+  return result;
 }
 
 bool FleetTask::IsChosenToTell() {
@@ -340,7 +349,7 @@
              wire::DecodeGrowing(body, freshness_question)) {
     HandleFreshnessQuestion(datagram.peer, freshness_question);
   } else if (kind == DatagramKind::kFreshnessAnswer &&
-             wire::DecodeGrowing(body, freshness_answer)) {
+             DecodeFreshnessAnswer(body, freshness_answer)) {
     HandleFreshnessAnswer(datagram.peer, freshness_answer);
   } else {
     Log(LogEvent::kDatagramDropped,
--- a/src/plugins/fleet/fleet_freshness.cc
+++ b/src/plugins/fleet/fleet_freshness.cc
@@ -1,6 +1,7 @@
 // Verifies that the installed configuration is the newest one, and tells until
 // when its keys can be relied on.
 #include <algorithm>
+#include <iterator>
 
 #include "plugins/fleet/datagrams.h"
 #include "plugins/fleet/fleet_task.h"
@@ -52,7 +53,7 @@
   const TimePoint now = net::BootNow();
   gateway::PassTime(freshness_, now);
   if (gateway::TakeDueQuestions(freshness_, is_watching_, now))
-    AskWatchers(now);
+    AskInstances(now);
   if (gateway::TakeDueCheck(freshness_, now, random_)) SendCheck();
   TellKeyStanding();
   const auto is_overdue = gateway::TakeOverdueChange(freshness_, now);
@@ -63,12 +64,22 @@
        {"verified_ms", at ? std::to_string(ToMillis(now - *at)) : "never"}});
 }
 
-void FleetTask::AskWatchers(TimePoint now) {
+std::vector<gateway::Member> FleetTask::InstancesToAsk() {
   if (first_watchers_.empty()) {
     first_watchers_ =
         gateway::FirstWatchers(lists_, options_.self.zone, kAskedWatchers);
   }
-  for (const auto& it : first_watchers_) {
+  std::vector<gateway::Member> result = first_watchers_;
+  if (trust_.level != storesync::TrustLevel::kDoubted) return result;
+  // The watchers of the zone may have started again, too.
+  std::ranges::move(WatchersOfOtherZones(kAskedWatchers),
+                    std::back_inserter(result));
+  result.push_back(members_[UniformBelow(random_, members_.size())]);
+  return result;
+}
+
+void FleetTask::AskInstances(TimePoint now) {
+  for (const auto& it : InstancesToAsk()) {
     if (it.name == options_.self.name) continue;
     gateway::FreshnessQuestion question;
     question.sender = options_.self.name;
@@ -124,8 +135,11 @@
   if (!options_.strict_revocation || !at) return;
   // An unreadable value, or a store that was restored from an older copy, may
   // hide a version that revoked keys of the one in force.
-  if (!stored_version_ || *stored_version_ < gateway::HighestKnown(lag_))
+  if (!HasStoreHighestKnown()) return;
+  if (trust_.level != storesync::TrustLevel::kTrusted) {
+    untrusted_verification_at_ = at;
     return;
+  }
   gateway::PassTime(freshness_, net::BootNow());
   gateway::RecordVerified(freshness_, *at, random_);
   TellKeyStanding();
@@ -134,7 +148,8 @@
 void FleetTask::HandleFreshnessQuestion(
     const Endpoint& peer, const gateway::FreshnessQuestion& question) {
   const auto answer =
-      gateway::AnswerTo(freshness_, question, lag_.installed, net::BootNow());
+      gateway::AnswerTo(freshness_, question, lag_.installed,
+                        gateway::HighestKnown(lag_), net::BootNow());
   if (!answer) return;
   SendToPeer(peer, EncodeDatagram(DatagramKind::kFreshnessAnswer, *answer));
 }
@@ -146,7 +161,9 @@
   const auto instance = gateway::HandleFreshnessAnswer(
       freshness_, answer, peer, lag_.installed, now, random_);
   if (!instance) return;
-  HandleAnnouncedVersion(*instance, answer.version);
+  HandleAnnouncedVersion(*instance,
+                         std::max(answer.version, answer.highest_known));
+  if (answer.highest_known >= answer.version) TrustStore(*instance);
   TellKeyStanding();
 }
 
--- a/src/plugins/fleet/fleet_restored_store.cc
+++ b/src/plugins/fleet/fleet_restored_store.cc
@@ -1,5 +1,6 @@
 // Handles a store that was restored from an older copy: it gives out revisions
 // and leases again, and lacks what was written since that copy.
+#include <utility>
 #include <variant>
 
 #include "plugins/fleet/fleet_task.h"
@@ -10,6 +11,9 @@
 void FleetTask::HandleRestoredStore() {
   const TimePoint now = net::MonotonicNow();
   gateway::BeginDoubt(ended_, now);
+  CancelCalls(CallOwner::kTrust);
+  storesync::BeginEra(trust_, IsInformed(), now);
+  untrusted_verification_at_.reset();
   for (const auto& [owner, view] : Views()) {
     CancelCalls(owner);
     storesync::ForgetRevisions(*view);
@@ -47,9 +51,66 @@
 }
 
 void FleetTask::EndDoubtIfDue(TimePoint now) {
-  if (!gateway::TakeDoubtEnd(ended_, now) || !is_watching_) return;
+  if (!gateway::TakeDoubtEnd(ended_, now)) return;
+  TrustStore("time");
+  if (!is_watching_) return;
   ApplyServers();
   ApplyMembers();
 }
 
+bool FleetTask::HasStoreHighestKnown() const {
+  return stored_version_ && *stored_version_ >= gateway::HighestKnown(lag_);
+}
+
+bool FleetTask::MayStoreBeBehind(TimePoint now) const {
+  const bool is_trusted = !options_.strict_revocation ||
+                          trust_.level == storesync::TrustLevel::kTrusted;
+  return gateway::IsDoubted(ended_, now) || !is_trusted;
+}
+
+bool FleetTask::IsInformed() const {
+  if (lag_.installed == ConfigVersion()) return false;
+  const auto until = gateway::AcceptedUntil(freshness_);
+  return !freshness_.is_needed || (until && net::BootNow() <= *until);
+}
+
+void FleetTask::SendDueTrustCall(TimePoint now) {
+  if (!options_.strict_revocation || is_store_lost_) return;
+  const bool must_record =
+      is_watching_ && !MayStoreBeBehind(now) && HasStoreHighestKnown();
+  if (const auto call =
+          storesync::NextCall(trust_, store_era_, must_record, now)) {
+    Send(CallOwner::kTrust, *call);
+  }
+}
+
+void FleetTask::HandleTrustReply(const storesync::Reply& reply, TimePoint now) {
+  const storesync::TrustLevel before = trust_.level;
+  storesync::HandleReply(trust_, reply, store_era_, now);
+  if (trust_.level == before) return;
+  if (trust_.level == storesync::TrustLevel::kTrusted) {
+    VerifyConfiguration(std::exchange(untrusted_verification_at_, {}));
+    return;
+  }
+  gateway::BeginDoubt(ended_, now);
+  // The other instances are asked which version they know of.
+  members_view_.next_call_at = now;
+  const auto& recorded = trust_.recorded;
+  Log(LogEvent::kStoreDoubted,
+      {{"era", std::to_string(store_era_->value())},
+       {"recorded",
+        recorded ? std::to_string(recorded->value()) : "unreadable"}});
+}
+
+void FleetTask::TrustStore(const std::string& by) {
+  if (trust_.level != storesync::TrustLevel::kDoubted) return;
+  trust_.level = storesync::TrustLevel::kTrusted;
+  const ConfigVersion version = gateway::HighestKnown(lag_);
+  Log(LogEvent::kStoreTrusted,
+      {{"era", store_era_ ? std::to_string(store_era_->value()) : ""},
+       {"by", by},
+       {"version", std::to_string(version.value())}});
+  VerifyConfiguration(std::exchange(untrusted_verification_at_, {}));
+}
+
 }  // namespace ibisladder::fleet
--- a/src/plugins/fleet/fleet_store_calls.cc
+++ b/src/plugins/fleet/fleet_store_calls.cc
@@ -50,6 +50,8 @@
       return "registration";
     case CallOwner::kFreshness:
       return "freshness";
+    case CallOwner::kTrust:
+      return "trust";
   }
   return "unknown";
 }
@@ -224,6 +226,9 @@
     case CallOwner::kFreshness:
       HandleCheckReply(call, reply);
       break;
+    case CallOwner::kTrust:
+      HandleTrustReply(reply, now);
+      break;
   }
 }
 
--- a/src/plugins/fleet/fleet_task.cc
+++ b/src/plugins/fleet/fleet_task.cc
@@ -81,6 +81,7 @@
   members_view_.next_call_at = net::MonotonicNow() + kFirstMembersReadDelay;
   freshness_.revocation_time = options_.revocation_time;
   configuration_view_.settings.watch_wait = ConfigurationWatchWait();
+  trust_.key = options_.schema.era_key;
   registration_.key = options_.schema.members_prefix + options_.self.name;
   registration_.value = wire::EncodePortable(options_.self);
 }
@@ -101,6 +102,8 @@
   UpdateWatchDuty(now);
   RelistIfOutdated(now);
   UpdateViewPauses();
+  // Before the list of the configuration, which it is a condition for.
+  SendDueTrustCall(now);
   SendDue(configuration_view_, CallOwner::kConfiguration);
   SendDue(servers_view_, CallOwner::kServers);
   SendDue(members_view_, CallOwner::kMembers);
--- a/src/plugins/fleet/fleet_task.h
+++ b/src/plugins/fleet/fleet_task.h
@@ -25,6 +25,7 @@
 #include "libs/net/event_loop.h"
 #include "libs/net/udp_socket.h"
 #include "libs/storesync/registration.h"
+#include "libs/storesync/store_trust.h"
 #include "libs/storesync/store_view.h"
 #include "plugins/fleet/configuration_decoder.h"
 #include "plugins/fleet/kv_transport.h"
@@ -45,6 +46,8 @@
   std::string configuration_key;
   std::string servers_prefix;
   std::string members_prefix;
+  /// Of the record of the store's era; used with strict revocation only.
+  std::string era_key;
 };
 
 class FleetTask {
@@ -181,7 +184,8 @@
     kServers,
     kMembers,
     kRegistration,
-    kFreshness
+    kFreshness,
+    kTrust
   };
   struct OpenCall {
     CallOwner owner = CallOwner::kRegistration;
@@ -250,6 +254,18 @@
   /// Believes entries that were written after the store was restored.
   void RecordWrittenEntries(CallOwner owner, const storesync::Reply& reply);
   void EndDoubtIfDue(TimePoint now);
+  /// Returns whether the store has the highest version that is known.
+  bool HasStoreHighestKnown() const;
+  /// Returns whether the store may lack a version that was acknowledged.
+  bool MayStoreBeBehind(TimePoint now) const;
+  /// Returns whether this process has known until now which version is the
+  /// newest.
+  bool IsInformed() const;
+  void SendDueTrustCall(TimePoint now);
+  void HandleTrustReply(const storesync::Reply& reply, TimePoint now);
+  /// Ends the doubt of a process that started before a restored store. `by`:
+  /// the instance that told the highest version that it knows of, or "time".
+  void TrustStore(const std::string& by);
   void TrackStoreAvailability(const storesync::Reply& reply);
   void ApplyConfiguration(gateway::Configuration configuration);
   void ApplyServers();
@@ -264,6 +280,7 @@
   void HandleUpdate(const Endpoint& peer, const gateway::ListUpdate& update);
   void HandleAnnouncedVersion(const std::string& sender, ConfigVersion version);
   void TellVersionIfDue(TimePoint now);
+  std::vector<gateway::Member> WatchersOfOtherZones(std::size_t per_zone) const;
   /// Returns whether this instance is one of a few of its zone, chosen at
   /// random each time.
   bool IsChosenToTell();
@@ -284,7 +301,9 @@
   // Freshness of the configuration.
 
   void TickFreshness();
-  void AskWatchers(TimePoint now);
+  /// Returns the instances to which the next questions go.
+  std::vector<gateway::Member> InstancesToAsk();
+  void AskInstances(TimePoint now);
   void SendCheck();
   void HandleCheckReply(const OpenCall& call, const storesync::Reply& reply);
   /// Returns when the call was sent whose reply shows that no newer version was
@@ -336,6 +355,10 @@
   /// Of the value that the store holds; none if that cannot be read, or is
   /// being decoded.
   std::optional<ConfigVersion> stored_version_;
+  storesync::StoreTrust trust_;
+  /// When a call was sent that verifies the configuration once the store is
+  /// trusted, by the clock that counts suspension.
+  std::optional<TimePoint> untrusted_verification_at_;
   gateway::ConfigurationFreshness freshness_;
   gateway::KeyStanding key_standing_;
   /// When the first page of the list of the configuration was asked for, also
--- a/tests/auto/fleet/freshness_test.cc
+++ b/tests/auto/fleet/freshness_test.cc
@@ -136,7 +136,8 @@
                       "op/",
                       "op/config",
                       "servers/",
-                      "members/"};
+                      "members/",
+                      "era"};
     options.strict_revocation = is_strict;
     auto transport = std::make_unique<Store>(*loop);
     store = transport.get();
--- a/tests/auto/fleet/scripted_fleet.cc
+++ b/tests/auto/fleet/scripted_fleet.cc
@@ -40,7 +40,8 @@
                     kConfigurationPrefix,
                     "op/config",
                     "servers/",
-                    "members/"};
+                    "members/",
+                    "era"};
   return options;
 }
 
--- a/tests/auto/fleet/sent_messages.cc
+++ b/tests/auto/fleet/sent_messages.cc
@@ -156,7 +156,8 @@
                     "op/",
                     "op/config",
                     "servers/",
-                    "members/"};
+                    "members/",
+                    "era"};
   const auto other = MakeMember("n3", "b", first_port + 1);
   auto task = std::move(*FleetTask::Create(
       *loop, options,
--- a/tests/auto/gateway/configuration_freshness_test.cc
+++ b/tests/auto/gateway/configuration_freshness_test.cc
@@ -145,7 +145,8 @@
     question.number =
         OpenQuestion(it.freshness, std::to_string(watcher), peer, now, random);
     if (IsLost(it, other) || other.is_suspended) return;
-    const auto answer = AnswerTo(other.freshness, question, other.version, now);
+    const auto answer =
+        AnswerTo(other.freshness, question, other.version, other.version, now);
     if (!answer || IsLost(other, it)) return;
     HandleFreshnessAnswer(it.freshness, *answer, peer, it.version, now, random);
   }
@@ -255,7 +256,7 @@
     CPPUNIT_ASSERT(!HandleFreshnessAnswer(freshness, MakeAnswer(number, {}),
                                           kWatcher, kInstalled,
                                           kStart - Seconds(60), random_));
-    CPPUNIT_ASSERT(!AnswerTo(freshness, {}, kInstalled, kStart));
+    CPPUNIT_ASSERT(!AnswerTo(freshness, {}, kInstalled, kInstalled, kStart));
     CPPUNIT_ASSERT(TakeDueQuestions(freshness, false, kStart - Seconds(60)));
     CPPUNIT_ASSERT(TakeDueCheck(freshness, kStart - Seconds(60), random_));
     Section("a clock that goes on far makes keys invalid", [&] {
@@ -272,7 +273,7 @@
     const TimePoint later = kStart + Seconds(60);
     CPPUNIT_ASSERT(!TakeDueQuestions(freshness, false, later));
     CPPUNIT_ASSERT(!TakeDueCheck(freshness, later, random_));
-    CPPUNIT_ASSERT(!AnswerTo(freshness, {}, kInstalled, later));
+    CPPUNIT_ASSERT(!AnswerTo(freshness, {}, kInstalled, kInstalled, later));
     CPPUNIT_ASSERT(!TakeOverdueChange(freshness, later));
   }
 
--- a/tests/auto/platform/store_entries.h
+++ b/tests/auto/platform/store_entries.h
@@ -31,8 +31,13 @@
 }
 
 inline fleet::StoreSchema MakeSchema() {
-  return {&MakeDecoder,      &ParseServer,   kConfigurationPrefix,
-          kConfigurationKey, kServersPrefix, kMembersPrefix};
+  return {&MakeDecoder,
+          &ParseServer,
+          kConfigurationPrefix,
+          kConfigurationKey,
+          kServersPrefix,
+          kMembersPrefix,
+          kEraKey};
 }
 
 }  // namespace ibisladder::platform
--- a/tests/process/entry_organisations_test.cc
+++ b/tests/process/entry_organisations_test.cc
@@ -3,6 +3,7 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -53,7 +54,7 @@
     server_->signal_request().connect(
         [this](net::HttpRequest& it) { Serve(it); });
     StartStore(1, keys);
-    for (int i = 0; i < kInstances; ++i) StartInstance(i);
+    for (int i = 0; i < kInstances; ++i) instances_.push_back(MakeInstance(i));
     for (int i = 0; i < kInstances; ++i) AwaitReady(i);
     // The first watcher of the zone is known then.
     Run(Seconds(2));
@@ -85,6 +86,35 @@
     loop_->Run();
   }
 
+  /// The store is away and comes back from its copy, while the instances of the
+  /// list are killed and started again.
+  void RestoreStoreAndRestart(const std::vector<int>& restarted) {
+    store_->set_mode(platform::StoreStandin::Mode::kBusy);
+    for (const int i : restarted) Restart(i);
+    Run(Millis(300));
+    store_->Restore();
+    store_->set_mode(platform::StoreStandin::Mode::kServing);
+  }
+  void MakeCopyOfStore() { store_->MakeCopy(); }
+  void Restart(int i) {
+    instances_[i].Signal(SIGKILL);
+    instances_[i].Wait(std::chrono::seconds(5));
+    instances_[i] = MakeInstance(i);
+  }
+  void AwaitReady(int i) {
+    const TimePoint end = net::MonotonicNow() + kReadyTimeout;
+    do {
+      Run(Millis(50));
+      net::HttpCall call;
+      call.id = ++last_call_;
+      call.endpoint = Port(i, 1);
+      call.target = platform::kReadyPath;
+      client_.Send(call);
+      loop_->Run();
+      CPPUNIT_ASSERT(net::MonotonicNow() < end);
+    } while (status_ != 200);
+  }
+
   /// Returns the status of the answer; 0 without one.
   int Ask(int instance, const std::string& target, net::Headers headers) {
     net::HttpCall call;
@@ -131,31 +161,16 @@
                    "done");
   }
 
-  void StartInstance(int i) {
+  ChildProcess MakeInstance(int i) const {
     const std::string settings = File(i, ".toml");
     WriteSettings(settings, "n" + std::to_string(i),
                   {Port(i, 0), Port(i, 1), Port(i, 2), At(0), Port(i, 3).port});
     std::ofstream(settings, std::ios::app)
         << "[terms.bounds]\nstrict_revoke = true\nrevoke_s = "
         << ToSeconds(kRevocation) << "\n";
-    instances_.emplace_back(
-        std::vector<std::string>{IBIS_BIN_DIR "/ibisladder-entry",
-                                 "--settings=" + settings},
-        File(i, ".out"), File(i, ".log"));
-  }
-
-  void AwaitReady(int i) {
-    const TimePoint end = net::MonotonicNow() + kReadyTimeout;
-    do {
-      Run(Millis(50));
-      net::HttpCall call;
-      call.id = ++last_call_;
-      call.endpoint = Port(i, 1);
-      call.target = platform::kReadyPath;
-      client_.Send(call);
-      loop_->Run();
-      CPPUNIT_ASSERT(net::MonotonicNow() < end);
-    } while (status_ != 200);
+    return {{IBIS_BIN_DIR "/ibisladder-entry", "--settings=" + settings},
+            File(i, ".out"),
+            File(i, ".log")};
   }
 
   testing::PortRange ports_;
@@ -173,6 +188,7 @@
 class EntryOrganisationsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EntryOrganisationsTest);
   CPPUNIT_TEST(KeysDecideAndAreRefusedInTime);
+  CPPUNIT_TEST(StartedInstancesRefuseKeysThatARestoredStoreStillHas);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -250,6 +266,84 @@
         CPPUNIT_ASSERT_MESSAGE(it, logs.find(it) == std::string::npos);
     });
   }
+
+  /// Guards against a removed key that runs at a process that has started after
+  /// the store came back from a copy that still has the key.
+  void StartedInstancesRefuseKeysThatARestoredStoreStillHas() {
+    const Keys before = {{"acme", {kKey, kOtherKey}}};
+    const Keys after = {{"acme", {kKey}}};
+    Fleet fleet(before);
+    int version = 1;
+    const auto remove_key_and_restore = [&](const std::vector<int>& restarted) {
+      fleet.MakeCopyOfStore();
+      fleet.Configure(++version, after);
+      fleet.Run(kRevocation + Millis(500));
+      fleet.RestoreStoreAndRestart(restarted);
+    };
+    const auto refuses_removed_key = [&](int instance) {
+      const int status = fleet.AskWith(instance, kOtherKey);
+      return status != 200;
+    };
+    const auto accepts_key = [&](int instance, Duration time) {
+      const TimePoint end = net::MonotonicNow() + time;
+      while (fleet.AskWith(instance, kKey) != 200) {
+        if (net::MonotonicNow() > end) return false;
+        fleet.Run(Millis(50));
+      }
+      return true;
+    };
+    // Until the operator writes the version again.
+    constexpr Duration kUntilWritten = Millis(1500);
+    // One of them watches the store for the others.
+    for (int i = 0; i < kInstances; ++i) {
+      Section("while other instances know the version that was lost", [&] {
+        fleet.Configure(++version, before);
+        fleet.Run(Seconds(1));
+        remove_key_and_restore({i});
+        const TimePoint end = net::MonotonicNow() + kUntilWritten;
+        while (net::MonotonicNow() < end) {
+          CPPUNIT_ASSERT(refuses_removed_key(i));
+          fleet.Run(Millis(20));
+        }
+      });
+      Section("and it serves with the version that is written again", [&] {
+        fleet.Configure(version, after);
+        CPPUNIT_ASSERT(accepts_key(i, Seconds(2)));
+        CPPUNIT_ASSERT_EQUAL(401, fleet.AskWith(i, kOtherKey));
+      });
+    }
+    Section("a later start, while the store is sound, costs nothing", [&] {
+      // Longer than the time in which a restored store is doubted.
+      fleet.Run(Seconds(11));
+      fleet.Restart(1);
+      fleet.AwaitReady(1);
+      CPPUNIT_ASSERT_EQUAL(200, fleet.AskWith(1, kKey));
+    });
+    Section("nor does one of all instances at the same time", [&] {
+      for (int i = 0; i < kInstances; ++i) fleet.Restart(i);
+      for (int i = 0; i < kInstances; ++i) {
+        fleet.AwaitReady(i);
+        CPPUNIT_ASSERT_EQUAL(200, fleet.AskWith(i, kKey));
+      }
+      fleet.Run(Seconds(2));
+    });
+    Section("when all instances were started again, until it is written", [&] {
+      fleet.Configure(++version, before);
+      fleet.Run(Seconds(1));
+      remove_key_and_restore({0, 1, 2});
+      const TimePoint end = net::MonotonicNow() + kUntilWritten;
+      while (net::MonotonicNow() < end) {
+        for (int i = 0; i < kInstances; ++i)
+          CPPUNIT_ASSERT(refuses_removed_key(i));
+        fleet.Run(Millis(20));
+      }
+      fleet.Configure(version, after);
+      for (int i = 0; i < kInstances; ++i) {
+        CPPUNIT_ASSERT(accepts_key(i, Seconds(15)));
+        CPPUNIT_ASSERT_EQUAL(401, fleet.AskWith(i, kOtherKey));
+      }
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryOrganisationsTest);
