Pass on or refuse requests as soon as they are read

Cause: one bound on pipelined requests in progress for all services, lowered while any request waits for a server. Requests beyond it had been taken off the socket and were kept in the connection (held_back, or bytes in its buffer), where no deadline, timeout or refusal applies and the end of the connection is not seen. The memory budget held requests in the same way.

Now whatever was read goes to the forwarder at once. It refuses a pipelined request with 503 if 8 of its service wait here already, and the answer closes the connection. While memory is short, a request is refused as it is read.

--- a/src/libs/gateway/arrivals.cc
+++ b/src/libs/gateway/arrivals.cc
@@ -21,6 +21,29 @@
   return !has_all && now < forwarder.start_deadline;
 }
 
+/// Number of pipelined requests of a service that may wait at this instance.
+constexpr std::ptrdiff_t kMaxWaitingPipelined = 8;
+
+/// Refuses a pipelined request if several of its service wait already, so that
+/// pipelines use what is free and leave other callers room to wait. Returns
+/// whether it was refused.
+bool RefusePipelined(Context& context, CallId id) {
+  const Forwarder& forwarder = context.forwarder;
+  const Call& call = forwarder.calls.at(id);
+  if (!call.request->is_pipelined) return false;
+  const auto waiting =
+      std::ranges::count_if(forwarder.calls, [&](const auto& it) {
+        const Call& other = it.second;
+        return it.first != id && other.service == call.service &&
+               other.request->is_pipelined && other.in_flight.empty();
+      });
+  if (waiting < kMaxWaitingPipelined) return false;
+  // What else the caller has sent would fare no better.
+  AnswerWithCode(context, id, ResultCode::kOverloaded, kDefaultRetryAfter,
+                 true);
+  return true;
+}
+
 /// Places the first attempt of a call that may run, unless it has to wait for
 /// its organisation's credit or for room.
 void StartCall(Context& context, CallId id) {
@@ -77,6 +100,7 @@
   call.service = MakeServiceId(NextService(*forwarder.routes, *route));
   const Duration timeout = call.request->timeout.value_or(call.route.timeout);
   call.deadline = call.arrived_at + std::min(timeout, call.route.timeout);
+  if (RefusePipelined(context, id)) return;
   StartCall(context, id);
 }
 
@@ -143,12 +167,4 @@
          !Internal::IsQuotaExhausted(forwarder, decision.holder->name, now);
 }
 
-std::size_t QueuedCalls(const Forwarder& forwarder) {
-  std::size_t n = 0;
-  for (const auto& [id, it] : forwarder.services) {
-    n += routing::QueueLength(*it.router);
-  }
-  return n;
-}
-
 }  // namespace ibisladder::gateway
--- a/src/libs/gateway/call_ends.cc
+++ b/src/libs/gateway/call_ends.cc
@@ -177,8 +177,9 @@
 }
 
 void AnswerWithCode(Context& context, CallId id, ResultCode code,
-                    Duration retry_after) {
+                    Duration retry_after, bool closes_connection) {
   CallerAnswer answer;
+  answer.close = closes_connection;
   answer.code = code;
   answer.status = StatusOf(code);
   if (IsRefusal(answer)) answer.retry_after = retry_after;
--- a/src/libs/gateway/forwarder.h
+++ b/src/libs/gateway/forwarder.h
@@ -218,8 +218,6 @@
 /// verified, or its organisation's quota is exhausted. Changes and counts
 /// nothing.
 bool MayRun(const Forwarder& forwarder, const RequestHead& head, TimePoint now);
-/// Returns the number of requests that wait for a slot of a server.
-std::size_t QueuedCalls(const Forwarder& forwarder);
 /// Returns the number of requests that are not finished.
 std::size_t OpenCalls(const Forwarder& forwarder);
 /// Returns what this instance knows of the limits of servers.
--- a/src/libs/gateway/forwarder_state.h
+++ b/src/libs/gateway/forwarder_state.h
@@ -364,7 +364,7 @@
 /// Answers with one of the gateway's own result codes. `retry_after` is used
 /// for statuses 429 and 503 only.
 void AnswerWithCode(Context& context, CallId id, ResultCode code,
-                    Duration retry_after);
+                    Duration retry_after, bool closes_connection = false);
 void CountAnswer(Context& context, const Call& call,
                  const CallerAnswer& answer);
 /// Logs and counts the answer, sends it to the caller unless that has left, and
--- a/src/libs/gateway/messages.h
+++ b/src/libs/gateway/messages.h
@@ -42,6 +42,9 @@
   std::string body;
   /// The body was not stored, so that the request must not be sent.
   bool is_body_dropped = false;
+  /// The caller sent it together with others on the same connection, without
+  /// waiting for an answer.
+  bool is_pipelined = false;
   /// Key of the caller's organisation. Empty, so that no organisation holds it,
   /// if the request has several; nullopt if it has none. Servers and other
   /// instances don't get it.
--- a/src/libs/net/socket_address.cc
+++ b/src/libs/net/socket_address.cc
@@ -5,6 +5,7 @@
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 
 #include <array>
@@ -36,6 +37,12 @@
   return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+bool IsClosedByPeer(int fd) {
+  pollfd it{fd, POLLRDHUP, 0};
+  return poll(&it, 1, 0) > 0 &&
+         (it.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 bool IsOutputAcknowledged(int fd) {
   int unacknowledged = 0;
   return ioctl(fd, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged == 0;
--- a/src/libs/net/socket_address.h
+++ b/src/libs/net/socket_address.h
@@ -29,6 +29,9 @@
 /// Whether bytes, the end of the connection or an error wait to be read. After
 /// a stall of the process, that is known to the kernel only.
 bool HasUnreadInput(int fd);
+/// Returns whether the peer of a connected socket has closed it or ended its
+/// output, also if there is unread input before the end.
+bool IsClosedByPeer(int fd);
 
 /// Whether the peer has acknowledged all bytes that were written.
 bool IsOutputAcknowledged(int fd);
--- a/src/plugins/gateway/caller_answers.cc
+++ b/src/plugins/gateway/caller_answers.cc
@@ -29,6 +29,7 @@
   const auto pending =
       std::ranges::find(connection.pending_answers, call, &PendingAnswer::call);
   pending->close = close;
+  connection.discards_input |= close;
   pending->response = response;
   ForgetRequest(connection, *pending);
   connection.ready_bytes += response.body.size();
@@ -145,7 +146,6 @@
   while (!connection.pending_answers.empty() && WriteFirstAnswer(connection)) {
     PendingAnswer& first = connection.pending_answers.front();
     ForgetRequest(connection, first);
-    if (first.is_pipelined) guard_->PipelinedEnded();
     connection.pending_answers.pop_front();
   }
   connection.last_activity_at = net::MonotonicNow();
--- a/src/plugins/gateway/caller_connection.h
+++ b/src/plugins/gateway/caller_connection.h
@@ -51,8 +51,6 @@
   bool close = false;
   /// Memory of the request; 0 once it is answered.
   std::size_t request_bytes = 0;
-  /// Was sent before the answers to earlier requests.
-  bool is_pipelined = false;
 };
 
 struct CallerConnection {
@@ -80,12 +78,6 @@
   bool closes_when_written = false;
   /// Shut down for writing; waits for the caller to close.
   bool is_lingering = false;
-  /// Reading stopped with input left; the requests in it were pipelined.
-  bool has_input_left = false;
-  /// A request that was read with others behind it, while too many pipelined
-  /// requests were in progress.
-  std::optional<http1::Request> held_back;
-  std::size_t held_back_bytes = 0;
   /// A long body is being read, after the input of others.
   bool has_low_priority = false;
   /// When a byte last arrived or left, or a request was answered.
@@ -113,11 +105,22 @@
   return evbuffer_get_length(bufferevent_get_input(connection.bev));
 }
 
+inline bool IsReading(const CallerConnection& connection) {
+  return (bufferevent_get_enabled(connection.bev) & EV_READ) != 0;
+}
+
 /// Whether the kernel holds input that is about to be read. After a stall, the
 /// timers are due before a request that arrived in the meantime is read.
 inline bool HasUnreadInput(const CallerConnection& connection) {
-  const bool is_read = (bufferevent_get_enabled(connection.bev) & EV_READ) != 0;
-  return is_read && net::HasUnreadInput(bufferevent_getfd(connection.bev));
+  return IsReading(connection) &&
+         net::HasUnreadInput(bufferevent_getfd(connection.bev));
+}
+
+/// Whether the caller has closed a connection that is not read. Otherwise the
+/// end of the input tells.
+inline bool HasLeftUnnoticed(const CallerConnection& connection) {
+  return !IsReading(connection) &&
+         net::IsClosedByPeer(bufferevent_getfd(connection.bev));
 }
 
 /// Reads long bodies after other input, so that crowds of them do not delay
@@ -132,10 +135,9 @@
 
 /// Whether no request of the connection is in progress.
 inline bool IsIdle(const CallerConnection& connection) {
-  return connection.pending_answers.empty() && !connection.held_back &&
-         !connection.has_input_left && !connection.parser.in_message() &&
-         !connection.is_lingering && UnsentBytes(connection) == 0 &&
-         !HasUnreadInput(connection);
+  return connection.pending_answers.empty() &&
+         !connection.parser.in_message() && !connection.is_lingering &&
+         UnsentBytes(connection) == 0 && !HasUnreadInput(connection);
 }
 
 }  // namespace Internal
--- a/src/plugins/gateway/caller_connections.cc
+++ b/src/plugins/gateway/caller_connections.cc
@@ -161,48 +161,35 @@
   }
 }
 
-bool CallerConnections::MayRead(const CallerConnection& connection,
-                                bool runs_ahead) const {
+bool CallerConnections::MayRead(const CallerConnection& connection) const {
   if (connection.parser.in_message()) return true;
   if (connection.pending_answers.size() >= Internal::kMaxPipelinedRequests ||
       UnsentBytes(connection) >= Internal::kMaxUnsentBytes) {
     return false;
   }
-  if (!runs_ahead && connection.pending_answers.empty()) {
-    return memory::MayAccept(guard_->budget());
-  }
-  if (!guard_->MayReadPipelined()) return false;
-  // A request without unanswered ones before it takes no more memory than one
-  // that came alone.
-  return connection.pending_answers.empty()
-             ? memory::MayAccept(guard_->budget())
-             : memory::MayReadAhead(guard_->budget());
+  return connection.pending_answers.empty() ||
+         memory::MayReadAhead(guard_->budget());
 }
 
 void CallerConnections::Read(CallerConnection& connection) {
   evbuffer* input = bufferevent_get_input(connection.bev);
   const std::uint64_t id = connection.id;
   const TimePoint now = net::MonotonicNow();
-  const bool runs_ahead = std::exchange(connection.has_input_left, false);
-  if (connection.held_back && MayRead(connection, true)) {
-    std::vector<http1::Request> requests;
-    requests.push_back(*std::exchange(connection.held_back, std::nullopt));
-    connection.held_back_bytes = 0;
-    HandleRequests(connection, requests, true);
-    if (!connections_.contains(id)) return;
-  }
+  // Whatever was taken from the socket is passed on or refused now: its caller
+  // waits for an answer, and can no longer tell that it was not read.
   while (UnreadBytes(connection) > 0) {
     if (connection.discards_input || connection.is_lingering) {
       evbuffer_drain(input, UnreadBytes(connection));
       break;
     }
-    if (connection.held_back || !MayRead(connection, runs_ahead)) {
-      connection.has_input_left = true;
-      break;
+    const bool was_in_message = connection.parser.in_message();
+    if (!was_in_message && !memory::MayAccept(guard_->budget())) {
+      guard_->Count(GuardReason::kMemory, connection.address);
+      RejectInput(connection, kStatusUnavailable);
+      return;
     }
     const std::size_t size = evbuffer_get_contiguous_space(input);
     const auto* bytes = evbuffer_pullup(input, static_cast<ev_ssize_t>(size));
-    const bool was_in_message = connection.parser.in_message();
     std::vector<http1::Request> requests;
     const auto [consumed, failure] = connection.parser.FeedUpTo(
         1, {reinterpret_cast<const char*>(bytes), size}, requests);
@@ -211,16 +198,7 @@
     if (!was_in_message || !requests.empty()) {
       connection.message_started_at = now;
     }
-    const bool is_held_back =
-        !requests.empty() && !failure && connection.pending_answers.empty() &&
-        !connection.parser.in_message() && UnreadBytes(connection) > 0 &&
-        !MayRead(connection, true);
-    if (is_held_back) {
-      connection.held_back_bytes = MemoryOf(requests.front());
-      connection.held_back = std::move(requests.front());
-      continue;
-    }
-    HandleRequests(connection, requests, runs_ahead);
+    HandleRequests(connection, requests);
     if (!connections_.contains(id)) return;
     if (failure && !connection.discards_input) {
       RejectInput(connection, StatusOf(*failure));
@@ -233,34 +211,27 @@
         "HTTP/1.1 100 Continue\r\n\r\n";
     bufferevent_write(connection.bev, kContinue.data(), kContinue.size());
   }
-  if (connection.has_input_left) bufferevent_disable(connection.bev, EV_READ);
+  // What follows stays in the socket, where its caller sees that it is unread.
+  if (!connection.discards_input && !MayRead(connection))
+    bufferevent_disable(connection.bev, EV_READ);
   Internal::AdaptPriority(connection);
   UpdateHoldings(connection);
 }
 
 void CallerConnections::ResumeReading(CallerConnection& connection) {
   if (connection.is_lingering || connection.closes_when_written) return;
-  const bool is_paused =
-      (bufferevent_get_enabled(connection.bev) & EV_READ) == 0;
-  if (!is_paused || !MayRead(connection, connection.has_input_left)) return;
-  bufferevent_enable(connection.bev, EV_READ);
-  // What was read already brings no event.
-  if (connection.has_input_left) {
-    bufferevent_trigger(connection.bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
-  }
+  if (!IsReading(connection) && MayRead(connection))
+    bufferevent_enable(connection.bev, EV_READ);
 }
 
 void CallerConnections::HandleRequests(CallerConnection& connection,
-                                       std::vector<http1::Request>& requests,
-                                       bool runs_ahead) {
+                                       std::vector<http1::Request>& requests) {
   const std::uint64_t id = connection.id;
   for (auto& it : requests) {
     if (connection.discards_input) return;
     const CallId call(++last_call_id_);
     PendingAnswer pending{call, it.method == "HEAD", it.accepts_chunks};
     pending.request_bytes = MemoryOf(it);
-    pending.is_pipelined = runs_ahead || !connection.pending_answers.empty();
-    if (pending.is_pipelined) guard_->PipelinedRead();
     connection.waiting_bytes += pending.request_bytes;
     connection.pending_answers.push_back(std::move(pending));
     connection.discards_input = !it.keep_alive;
@@ -271,11 +242,15 @@
   }
 }
 
+bool CallerConnections::IsPipelined(CallId call) const {
+  const CallerConnection* connection = FindConnection(call);
+  if (connection == nullptr) return false;
+  const bool has_earlier = connection->pending_answers.front().call != call;
+  return has_earlier || UnreadBytes(*connection) > 0;
+}
+
 void CallerConnections::StopReading(CallerConnection& connection) {
   connection.discards_input = true;
-  connection.has_input_left = false;
-  connection.held_back.reset();
-  connection.held_back_bytes = 0;
   connection.parser = MakeParser(connection.address);
   evbuffer_drain(bufferevent_get_input(connection.bev),
                  UnreadBytes(connection));
@@ -297,7 +272,8 @@
   PendingAnswer pending;
   pending.response = http1::Response{status, {}, "", false};
   if (status == kStatusUnavailable) {
-    pending.response->headers = {{"Retry-After", "1"}};
+    pending.response->headers = refusal_fields_;
+    pending.response->headers.emplace_back("Retry-After", "1");
   }
   connection.pending_answers.push_back(std::move(pending));
   WriteReadyAnswers(connection);
--- a/src/plugins/gateway/caller_connections.h
+++ b/src/plugins/gateway/caller_connections.h
@@ -55,8 +55,13 @@
   void SetBodyFilter(http1::BodyFilter needs_body) {
     needs_body_ = std::move(needs_body);
   }
+  /// Sets fields of the answers that refuse requests for lack of memory.
+  void SetRefusalFields(net::Headers fields) {
+    refusal_fields_ = std::move(fields);
+  }
   /// Does nothing if the caller has left. With `close` the connection is closed
-  /// after the answer.
+  /// after the answer; what the caller sent behind it and was not read yet is
+  /// dropped.
   void Answer(CallId call, const http1::Response& response, bool close);
 
   // Answers in parts. All but CanStream do nothing if the caller has left.
@@ -101,6 +106,9 @@
     return callers_left_;
   }
 
+  /// Returns whether the caller sent other requests before the answer to an
+  /// earlier one. Call it while the request is reported.
+  bool IsPipelined(CallId call) const;
   /// IP address of the caller; empty if it has left.
   std::string AddressOf(CallId call) const;
   std::size_t open_connections() const { return connections_.size(); }
@@ -122,12 +130,11 @@
   /// Closes a connection if there are too many. Returns whether there is room.
   bool MakeRoom();
   void Read(Internal::CallerConnection& connection);
-  /// `runs_ahead`: the next request was sent before earlier answers.
-  bool MayRead(const Internal::CallerConnection& connection,
-               bool runs_ahead) const;
+  /// Returns whether more may be taken from the socket.
+  bool MayRead(const Internal::CallerConnection& connection) const;
   void ResumeReading(Internal::CallerConnection& connection);
   void HandleRequests(Internal::CallerConnection& connection,
-                      std::vector<http1::Request>& requests, bool runs_ahead);
+                      std::vector<http1::Request>& requests);
   /// Drops the incomplete request and further input.
   void StopReading(Internal::CallerConnection& connection);
   /// Reports the connection's memory to the budget.
@@ -153,6 +160,7 @@
   CallerLimits limits_;
   std::size_t max_connections_ = std::numeric_limits<std::size_t>::max();
   http1::BodyFilter needs_body_;
+  net::Headers refusal_fields_;
   bool closes_after_answers_ = false;
   std::uint64_t last_connection_id_ = 0;
   std::uint64_t last_call_id_ = 0;
--- a/src/plugins/gateway/caller_sweeps.cc
+++ b/src/plugins/gateway/caller_sweeps.cc
@@ -8,8 +8,6 @@
 namespace ibisladder::gateway {
 
 using Internal::CallerConnection;
-using Internal::PendingAnswer;
-
 namespace {
 
 /// Time that a caller has to close its side after the last answer. Closing the
@@ -43,10 +41,10 @@
 bool IsSlow(const CallerConnection& connection, const CallerLimits& limits,
             TimePoint now) {
   const Duration age = now - connection.message_started_at;
-  const bool is_read = (bufferevent_get_enabled(connection.bev) & EV_READ) != 0;
   const bool is_incomplete =
       connection.parser.in_message() && !connection.discards_input;
-  if (!is_read || !is_incomplete || age <= limits.header_timeout) return false;
+  if (!IsReading(connection) || !is_incomplete || age <= limits.header_timeout)
+    return false;
   bool is_slow = now - connection.last_activity_at > limits.header_timeout;
   if (connection.parser.in_body()) {
     is_slow |= memory::RateAt(connection.received, now) < kMinBodyRate;
@@ -77,9 +75,9 @@
 
 void CallerConnections::UpdateHoldings(CallerConnection& connection) {
   memory::Holdings held{};
-  HeldFor(held, memory::Use::kReceiving) =
-      kConnectionBytes + UnreadBytes(connection) +
-      connection.parser.held_bytes() + connection.held_back_bytes;
+  HeldFor(held, memory::Use::kReceiving) = kConnectionBytes +
+                                           UnreadBytes(connection) +
+                                           connection.parser.held_bytes();
   HeldFor(held, memory::Use::kWaiting) = connection.waiting_bytes;
   HeldFor(held, memory::Use::kAnswers) =
       connection.ready_bytes + UnsentBytes(connection);
@@ -88,17 +86,13 @@
 
 void CallerConnections::ForgetHoldings(CallerConnection& connection) {
   memory::Report(guard_->budget(), connection.reported, {});
-  for (const PendingAnswer& it : connection.pending_answers) {
-    if (it.is_pipelined) guard_->PipelinedEnded();
-  }
 }
 
 std::vector<std::pair<std::uint64_t, memory::Holder>>
 CallerConnections::Holders(TimePoint now) const {
   std::vector<std::pair<std::uint64_t, memory::Holder>> result;
   for (const auto& [id, it] : connections_) {
-    const std::size_t receiving =
-        it->parser.held_bytes() + it->held_back_bytes + UnreadBytes(*it);
+    const std::size_t receiving = it->parser.held_bytes() + UnreadBytes(*it);
     const std::size_t answers = it->ready_bytes + UnsentBytes(*it);
     if (receiving + answers < kSmallHolding) continue;
     const double rate =
@@ -163,14 +157,14 @@
     return false;
   }
   return now - connection.last_activity_at > limits_.idle_timeout &&
-         !connection.has_input_left && !HasUnreadInput(connection);
+         !HasUnreadInput(connection);
 }
 
 void CallerConnections::Sweep(TimePoint now) {
   std::vector<std::uint64_t> expired;
   std::vector<CallerConnection*> slow;
   for (const auto& [id, connection] : connections_) {
-    if (IsExpired(*connection, now)) {
+    if (IsExpired(*connection, now) || HasLeftUnnoticed(*connection)) {
       expired.push_back(id);
     } else if (IsSlowReader(*connection, now)) {
       guard_->Count(GuardReason::kSlowReader, connection->address);
--- a/src/plugins/gateway/connection_guard.cc
+++ b/src/plugins/gateway/connection_guard.cc
@@ -9,10 +9,6 @@
 
 constexpr Duration kLogInterval = Seconds(10);
 constexpr std::size_t kMaxAddresses = 256;
-/// Bounds of the pipelined requests that may be in progress, and their growth.
-constexpr std::size_t kMinPipelined = 8;
-constexpr std::size_t kMaxPipelined = 1024;
-constexpr std::size_t kPipelinedStep = 8;
 
 }  // namespace
 
@@ -47,14 +43,6 @@
   }
 }
 
-void ConnectionGuard::AdaptPipelining(bool is_congested) {
-  if (is_congested) {
-    max_pipelined_ = std::max(max_pipelined_ / 2, kMinPipelined);
-  } else if (pipelined_ >= max_pipelined_ / 2) {
-    max_pipelined_ = std::min(max_pipelined_ + kPipelinedStep, kMaxPipelined);
-  }
-}
-
 void ConnectionGuard::Reclaim(TimePoint now) {
   if (!memory::IsExceeded(budget_)) return;
   struct Candidate {
--- a/src/plugins/gateway/connection_guard.h
+++ b/src/plugins/gateway/connection_guard.h
@@ -48,32 +48,21 @@
   void Reclaim(TimePoint now);
   /// Writes a log line about clients that were refused or closed, if it is due.
   void Sweep(TimePoint now);
-  /// Call regularly. `is_congested`: requests wait for servers. Then fewer
-  /// requests are read that were sent before the answers to earlier ones.
-  void AdaptPipelining(bool is_congested);
-  /// A pipelined request was read, or answered.
-  void PipelinedRead() { ++pipelined_; }
-  void PipelinedEnded() { --pipelined_; }
 
   // Queries.
 
   memory::MemoryBudget& budget() { return budget_; }
   const memory::MemoryBudget& budget() const { return budget_; }
-  bool MayReadPipelined() const { return pipelined_ < max_pipelined_; }
   std::uint64_t count(GuardReason reason) const {
     return counts_[static_cast<std::size_t>(reason)];
   }
   sigc::signal<void(const LogLine&)>& signal_log() { return log_; }
 
  private:
-  static constexpr std::size_t kStartPipelined = 32;
   using Counts = std::array<std::uint64_t, kGuardReasons>;
 
   memory::MemoryBudget budget_;
   std::vector<CallerConnections*> connections_;
-  std::size_t pipelined_ = 0;
-  /// Pipelined requests of all connections that may be in progress.
-  std::size_t max_pipelined_ = kStartPipelined;
   Counts counts_{};
   Counts logged_{};
   TimePoint logged_at_;
--- a/src/plugins/gateway/gateway_task.cc
+++ b/src/plugins/gateway/gateway_task.cc
@@ -53,6 +53,9 @@
     relays = std::move(*listening);
     relays->SetLimits(RelayLimits({}));
     relays->SetMaxConnections(options.max_relays);
+    relays->SetRefusalFields(
+        {{kRelayResultField,
+          std::to_string(static_cast<int>(ResultCode::kOverloaded))}});
   }
   (*callers)->SetMaxConnections(options.max_callers);
   std::unique_ptr<GatewayTask> task(new GatewayTask(
@@ -176,6 +179,7 @@
   const bool is_body_dropped = it.is_body_dropped;
   CallerRequest request = options_.codec.decode_request(id, std::move(it));
   request.is_body_dropped = is_body_dropped;
+  request.is_pipelined = ConnectionsOf(id).IsPipelined(id);
   request.caller_address =
       origin ? origin->caller_address : callers_->AddressOf(id);
   if (origin) request.relay_address = relays_->AddressOf(id);
@@ -289,7 +293,6 @@
 
 void GatewayTask::Tick() {
   gateway::Tick(*forwarder_, net::MonotonicNow());
-  guard_->AdaptPipelining(QueuedCalls(*forwarder_) > 0);
   PerformActions();
 }
 
--- a/tests/auto/gateway/caller_limits_test.cc
+++ b/tests/auto/gateway/caller_limits_test.cc
@@ -26,8 +26,10 @@
                                                    CallId(), guard));
     callers->signal_request().connect([this](CallId id, http1::Request& it) {
       requests.push_back(std::move(it));
-      callers->Answer(id, {200, {}, body}, false);
+      if (answers) callers->Answer(id, {200, {}, body}, false);
     });
+    callers->signal_callers_left().connect(
+        [this](const std::vector<CallId>& it) { left += it.size(); });
   }
   template <typename Condition>
   bool TurnUntil(const Condition& condition) {
@@ -43,7 +45,10 @@
       std::make_shared<ConnectionGuard>(memory::MakeBudget(0));
   std::unique_ptr<CallerConnections> callers;
   std::string body;
+  bool answers = true;
   std::vector<http1::Request> requests;
+  /// Unanswered requests of closed connections.
+  std::size_t left = 0;
 };
 
 class CallerLimitsTest : public CppUnit::TestFixture {
@@ -52,6 +57,8 @@
   CPPUNIT_TEST(IdleConnectionsAreClosedFirst);
   CPPUNIT_TEST(RefusedBodiesLeaveTheConnectionOpen);
   CPPUNIT_TEST(AllMemoryIsGivenBack);
+  CPPUNIT_TEST(RequestsAreRefusedAtOnceWhileMemoryIsShort);
+  CPPUNIT_TEST(CloseOfAConnectionThatIsNotReadIsNoticed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -139,6 +146,56 @@
         [&] { return listener.callers->open_connections() == 0; }));
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, listener.guard->budget().used);
   }
+
+  /// Guards against a request that was read and is kept without an answer until
+  /// other callers give memory back.
+  void RequestsAreRefusedAtOnceWhileMemoryIsShort() {
+    Listener listener(kPorts.At(5));
+    listener.callers->SetRefusalFields({{"Refused-By", "test"}});
+    const RawSocket caller = RawSocket::Connect(kPorts.At(5));
+    memory::Holdings before{};
+    memory::Holdings others{};
+    others.front() = 2 * listener.guard->budget().capacity;
+    memory::Report(listener.guard->budget(), before, others);
+    caller.Write(std::string(kGet) + kGet);
+    CPPUNIT_ASSERT(listener.TurnUntil([&] { return caller.IsReadable(); }));
+    const std::string answer = caller.Read();
+    CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 503 "));
+    for (const char* it : {"Retry-After: 1", "Refused-By", "Connection: close"})
+      CPPUNIT_ASSERT_MESSAGE(it, answer.find(it) != std::string::npos);
+    Section("and does not run afterwards", [&] {
+      memory::Report(listener.guard->budget(), before, {});
+      CPPUNIT_ASSERT(listener.TurnUntil([&] { return caller.IsReadable(); }));
+      CPPUNIT_ASSERT_EQUAL(std::string(), caller.Read());
+      CPPUNIT_ASSERT(listener.requests.empty());
+    });
+  }
+
+  /// Guards against requests that run for a caller that has left, whose
+  /// connection is not read since enough of its requests are unanswered.
+  void CloseOfAConnectionThatIsNotReadIsNoticed() {
+    Listener listener(kPorts.At(6));
+    listener.answers = false;
+    std::optional<RawSocket> caller = RawSocket::Connect(kPorts.At(6));
+    constexpr std::size_t kReadAhead = 32;
+    std::string bytes;
+    for (std::size_t i = 0; i < kReadAhead; ++i) bytes += kGet;
+    caller->Write(bytes);
+    CPPUNIT_ASSERT(listener.TurnUntil(
+        [&] { return listener.requests.size() == kReadAhead; }));
+    Section("what it sends now stays in the socket", [&] {
+      caller->Write(kGet);
+      listener.TurnUntil([] { return false; });
+      CPPUNIT_ASSERT_EQUAL(kReadAhead, listener.requests.size());
+    });
+    caller.reset();
+    CPPUNIT_ASSERT(listener.TurnUntil([&] {
+      listener.callers->Sweep(net::MonotonicNow());
+      return listener.left > 0;
+    }));
+    CPPUNIT_ASSERT_EQUAL(kReadAhead, listener.left);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, listener.callers->open_connections());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallerLimitsTest);
