Ask no instance at random when none is known

An instance that doubts the store also asks an instance at random. Once it leaves and knows no other, the list to draw from is empty; found by reading, before any landing. LastInstanceLeavesWhileItDoubtsTheStore covers it. Moves a constant beside the others and corrects a comment.

--- a/src/libs/gateway/arrivals.cc
+++ b/src/libs/gateway/arrivals.cc
@@ -9,6 +9,9 @@
 namespace ibisladder::gateway::Internal {
 namespace {
 
+/// Number of pipelined requests of a service that may wait at this instance.
+constexpr std::ptrdiff_t kMaxWaitingPipelined = 8;
+
 /// Whether quotas can be decided on.
 bool KnowsKeepers(const Forwarder& forwarder) {
   return forwarder.quota_limits.empty() ||
@@ -21,9 +24,6 @@
   return !has_all && now < forwarder.start_deadline;
 }
 
-/// Number of pipelined requests of a service that may wait at this instance.
-constexpr std::ptrdiff_t kMaxWaitingPipelined = 8;
-
 /// Refuses a pipelined request if several of its service wait already, so that
 /// pipelines use what is free and leave other callers room to wait. Returns
 /// whether it was refused.
--- a/src/plugins/fleet/fleet_freshness.cc
+++ b/src/plugins/fleet/fleet_freshness.cc
@@ -74,7 +74,9 @@
   // The watchers of the zone may have started again, too.
   std::ranges::move(WatchersOfOtherZones(kAskedWatchers),
                     std::back_inserter(result));
-  result.push_back(members_[UniformBelow(random_, members_.size())]);
+  // Empty once this instance leaves and knows no other.
+  if (!members_.empty())
+    result.push_back(members_[UniformBelow(random_, members_.size())]);
   return result;
 }
 
--- a/src/plugins/fleet/fleet_task.cc
+++ b/src/plugins/fleet/fleet_task.cc
@@ -102,7 +102,7 @@
   UpdateWatchDuty(now);
   RelistIfOutdated(now);
   UpdateViewPauses();
-  // Before the list of the configuration, which it is a condition for.
+  // The reply decides whether the list of the configuration verifies it.
   SendDueTrustCall(now);
   SendDue(configuration_view_, CallOwner::kConfiguration);
   SendDue(servers_view_, CallOwner::kServers);
--- a/tests/auto/fleet/restored_store_start_test.cc
+++ b/tests/auto/fleet/restored_store_start_test.cc
@@ -75,7 +75,7 @@
       record = put->value;
       reply = ScriptedReply{storesync::Stored{}};
     } else if (const auto* range = std::get_if<storesync::RangeCall>(&call);
-               range != nullptr && range->prefix == "members/") {
+               range != nullptr && range->prefix == "members/" && has_other) {
       reply = ScriptedReply{Members()};
     } else if (const auto* watch = std::get_if<storesync::WatchCall>(&call);
                watch != nullptr && watch->wait <= Millis(100)) {
@@ -157,6 +157,8 @@
   std::optional<gateway::FreshnessAnswer> answer;
   bool is_earlier_build = false;
 
+  /// Whether the store lists the other instance.
+  bool has_other = true;
   bool is_away = false;
   storesync::StoreEra era{2};
   int version = 1;
@@ -170,6 +172,7 @@
   CPPUNIT_TEST(InstancesOfOtherZonesTellWhetherAVersionIsLacking);
   CPPUNIT_TEST(WithoutAnAnswerKeysAreRefusedWhileTheStoreIsDoubted);
   CPPUNIT_TEST(InstanceThatHadLostTheStoreDoubtsItToo);
+  CPPUNIT_TEST(LastInstanceLeavesWhileItDoubtsTheStore);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -261,6 +264,17 @@
       CPPUNIT_ASSERT(fleet.AcceptsWithin(Seconds(3)));
     });
   }
+
+  /// Guards against a process that ends since it looks for another instance to
+  /// ask and knows none, not even itself.
+  void LastInstanceLeavesWhileItDoubtsTheStore() {
+    Fleet fleet;
+    fleet.has_other = false;
+    fleet.Start();
+    CPPUNIT_ASSERT(fleet.RunUntil([&] { return fleet.doubts > 0; }));
+    fleet.task->Leave();
+    CPPUNIT_ASSERT(!fleet.AcceptsWithin(Seconds(2)));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RestoredStoreStartTest);
